--- /dev/null
+++ b/jest.config.mjs
@@ -0,0 +1,11 @@
+export default {
+  testEnvironment: 'node',
+  testMatch: ['<rootDir>/packages/**/*.test.ts', '<rootDir>/marjorammast-app/**/*.test.ts'],
+  transform: {
+    '^.+\\.(t|j|m)s$': [
+      '@swc/jest',
+      { jsc: { parser: { syntax: 'typescript' }, target: 'es2022' }, module: { type: 'commonjs' } },
+    ],
+  },
+  testTimeout: 120000,
+};
--- /dev/null
+++ b/marjorammast-app/src/local.ts
@@ -0,0 +1,150 @@
+import Table from 'cli-table3';
+import { callEntry } from './callEntry';
+import { Deployment } from './local/Deployment';
+import { SAMPLE_ENVIRONMENT } from './samples';
+
+type Row = { what: string; expected: string; seen: string; ms: number };
+
+const NOT_AFTER_MS = 60_000;
+
+const createJob = (key: string, team: string, kind: string, tasks: object[], extra = {}) => ({
+  key,
+  team,
+  kind,
+  tasks,
+  notAfter: Date.now() + NOT_AFTER_MS,
+  ...extra,
+});
+
+const tasksOf = (count: number, runMs: number): object[] =>
+  Array.from({ length: count }, () => ({ payload: { runMs } }));
+
+const runSamples = async (deployment: Deployment): Promise<Row[]> => {
+  const rows: Row[] = [];
+  const [first = '', second = '', third = ''] = deployment.addresses;
+
+  const check = async (what: string, expected: string, act: () => Promise<string>) => {
+    const startedAt = performance.now();
+    const seen = await act().catch((error: Error) => error.message);
+    rows.push({ what, expected, seen, ms: Math.round(performance.now() - startedAt) });
+  };
+  const submit = async (address: string, job: object, query = ''): Promise<string> => {
+    const { status, body } = await callEntry(address, 'POST', `/v1/jobs${query}`, job);
+    const results = body['results'] as unknown[] | undefined;
+    if (results) return `complete, ${results.length} results`;
+    return `${status} ${String(body['code'] ?? body['status'])} ${String(body['verdict'] ?? '')}`.trim();
+  };
+
+  const urgent = createJob('claim-1', 'siam-haulage', 'receipt-check', tasksOf(24, 80), {
+    urgent: true,
+  });
+  await check('Siam: urgent job of 24 tasks', 'complete, 24 results', () => submit(first, urgent));
+  await check('Siam: the same job again, at another entry', 'complete, 24 results', () =>
+    submit(second, urgent),
+  );
+  await check('Siam: the same key, another content', '409 conflict notRun', () =>
+    submit(third, { ...urgent, tasks: tasksOf(3, 10) }),
+  );
+  await check('Siam: filing confirmation, runs at most once', '200 complete', async () => {
+    const body = {
+      team: 'siam-haulage',
+      service: 'filing',
+      method: 'confirm',
+      payload: { runMs: 60 },
+    };
+    const answer = await callEntry(second, 'POST', '/v1/requests', body);
+    return `${answer.status} ${String(answer.body['status'])}`;
+  });
+  await check('Kalahari: 40 slot holds', 'complete, 40 results', () =>
+    submit(third, createJob('hold-1', 'kalahari-booths', 'slot-hold', tasksOf(40, 120))),
+  );
+  await check('Kalahari: one task always fails', '502 taskFailed ran', () =>
+    submit(
+      first,
+      createJob('hold-2', 'kalahari-booths', 'slot-hold', [{ payload: { fail: true } }]),
+    ),
+  );
+  await check('Kalahari: a kind nobody runs', '400 invalid notRun', () =>
+    submit(second, createJob('hold-3', 'kalahari-booths', 'no-such-kind', tasksOf(1, 10))),
+  );
+  await check('Siam: cancelled while it runs', '499 cancelled mayHaveRun', async () => {
+    const job = createJob('claim-2', 'siam-haulage', 'vat-valuation', tasksOf(6, 3_000));
+    const answer = submit(first, job);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 300);
+    });
+    await callEntry(third, 'DELETE', '/v1/jobs/siam-haulage/claim-2');
+    return answer;
+  });
+  const out = 'ayutthaya';
+  await check(`operators take ${out} out`, 'accepted', async () => {
+    const { body } = await callEntry(first, 'POST', `/v1/data-centers/${out}/out`);
+    return String(body['type']);
+  });
+  await check('Kalahari: 40 holds in the other data centre', 'bangkok-north only', async () => {
+    const job = createJob('hold-4', 'kalahari-booths', 'slot-hold', tasksOf(40, 60));
+    const { body } = await callEntry(second, 'POST', '/v1/jobs', job);
+    const results = body['results'] as { target: string }[];
+    const used = new Set(results.map(({ target }) => target));
+    const centers = deployment.targets.filter(({ name }) => used.has(name));
+    return `${[...new Set(centers.map(({ dataCenter }) => dataCenter))].join(', ')} only`;
+  });
+  await check(`operators bring ${out} back`, 'accepted', async () => {
+    const { body } = await callEntry(third, 'POST', `/v1/data-centers/${out}/in`);
+    return String(body['type']);
+  });
+  await check('Siam: 170 tasks on all targets', 'complete, 170 results', () =>
+    submit(second, createJob('claim-3', 'siam-haulage', 'receipt-check', tasksOf(170, 50))),
+  );
+  return rows;
+};
+
+const printRows = (rows: readonly Row[]): boolean => {
+  const table = new Table({ head: ['what', 'seen', 'ms', ''] });
+  rows.forEach(({ what, expected, seen, ms }) => {
+    table.push([what, seen, ms, seen === expected ? 'ok' : `expected: ${expected}`]);
+  });
+  process.stdout.write(`${table.toString()}\n`);
+  return rows.every(({ expected, seen }) => seen === expected);
+};
+
+const printUsage = (deployment: Deployment): void => {
+  const [first = ''] = deployment.addresses;
+  const command = `node marjorammast-app/dist/marjorammast.js`;
+  process.stdout.write(
+    [
+      '',
+      `entries   ${deployment.addresses.join('  ')}`,
+      `store     ${deployment.store.http}`,
+      `logs      ${deployment.folder}`,
+      '',
+      `${command} status --entry ${first}`,
+      `${command} timeline --entry ${first} --since 30s`,
+      `${command} data-center out ayutthaya --entry ${first}`,
+      `kill -TERM ${deployment.entries[0]?.process.pid}   # ends ${deployment.entries[0]?.name} gracefully`,
+      'Press Ctrl-C to end.',
+      '',
+    ].join('\n'),
+  );
+};
+
+const run = async (): Promise<void> => {
+  process.stdout.write('Starting a store stand-in, 3 entries, 6 agents and 6 targets ...\n');
+  const size = { entries: 3, agents: 6, dataCenters: ['bangkok-north', 'ayutthaya'] };
+  const deployment = await Deployment.create(size, SAMPLE_ENVIRONMENT);
+  const isGood = printRows(await runSamples(deployment));
+  if (process.argv.includes('--keep')) {
+    printUsage(deployment);
+    await new Promise((resolve) => {
+      process.once('SIGINT', resolve);
+      process.once('SIGTERM', resolve);
+    });
+  }
+  await deployment.stop();
+  process.exit(isGood ? 0 : 1);
+};
+
+run().catch((error: Error) => {
+  process.stderr.write(`${error.message}\n`);
+  process.exit(1);
+});
--- /dev/null
+++ b/marjorammast-app/src/local/Deployment.ts
@@ -0,0 +1,239 @@
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { mkdtempSync, openSync, writeFileSync } from 'node:fs';
+import { createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { callEntry } from '../callEntry';
+
+/** Shape of a local deployment. */
+export type DeploymentSize = {
+  entries: number;
+  agents: number;
+  dataCenters: readonly string[];
+  slots?: number;
+  /** Slowness of each target in turn; 1 when absent. */
+  slowness?: readonly number[];
+  logLevel?: string;
+};
+
+/** One running program. */
+export type Program = { name: string; process: ChildProcess; http: string; dataCenter: string };
+
+const READY_TIMEOUT_MS = 20_000;
+
+const POLL_MS = 50;
+
+const EXIT_TIMEOUT_MS = 35_000;
+
+const findPort = (): Promise<number> =>
+  new Promise((resolve, reject) => {
+    const server = createServer();
+    server.once('error', reject);
+    server.listen(0, '127.0.0.1', () => {
+      const { port } = server.address() as AddressInfo;
+      server.close(() => resolve(port));
+    });
+  });
+
+const sleep = (ms: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
+/** Programs of one deployment on this machine, each its own process. */
+export class Deployment {
+  readonly entries: Program[] = [];
+
+  readonly agents: Program[] = [];
+
+  readonly targets: Program[] = [];
+
+  store!: Program;
+
+  private readonly ports = new Map<string, number>();
+
+  private constructor(
+    private readonly size: DeploymentSize,
+    readonly folder: string,
+  ) {}
+
+  /**
+   * Starts a deployment and waits until its entries are ready.
+   *
+   * @param size - how many of what
+   * @param environment - document to apply
+   * @returns the running deployment
+   */
+  static async create(size: DeploymentSize, environment: unknown): Promise<Deployment> {
+    const deployment = new Deployment(size, mkdtempSync(join(tmpdir(), 'marjorammast-')));
+    try {
+      await deployment.startAll();
+      await deployment.applyEnvironment(environment);
+      return deployment;
+    } catch (error) {
+      await deployment.stop();
+      throw error;
+    }
+  }
+
+  /** HTTP addresses of the entries. */
+  get addresses(): string[] {
+    return this.entries.map(({ http }) => http);
+  }
+
+  /** File in which the targets record what they ran. */
+  get records(): string {
+    return join(this.folder, 'records.jsonl');
+  }
+
+  /** Starts one entry, or starts it again with the same addresses. */
+  async startEntry(index: number): Promise<Program> {
+    const name = `entry-${index + 1}`;
+    const dataCenter = this.dataCenterOf(index);
+    const http = await this.addressOf(`${name}-http`);
+    const rpc = await this.addressOf(`${name}-rpc`);
+    const settings = { name, dataCenter, http, rpc, store: `http://${this.store.http}` };
+    const program = this.launch('entry', name, http, dataCenter, settings);
+    this.entries[index] = program;
+    return program;
+  }
+
+  /** Starts one agent, or starts it again with the same addresses. */
+  async startAgent(index: number): Promise<Program> {
+    const name = `agent-${index + 1}`;
+    const dataCenter = this.dataCenterOf(index);
+    const http = await this.addressOf(`${name}-http`);
+    const entries = await Promise.all(
+      Array.from({ length: this.size.entries }, (_, entry) =>
+        this.addressOf(`entry-${entry + 1}-rpc`),
+      ),
+    );
+    const program = this.launch('agent', name, http, dataCenter, {
+      name,
+      dataCenter,
+      http,
+      entries,
+    });
+    this.agents[index] = program;
+    return program;
+  }
+
+  /** Waits until a condition holds. */
+  async until(
+    what: string,
+    condition: () => Promise<boolean>,
+    timeoutMs: number = READY_TIMEOUT_MS,
+  ): Promise<void> {
+    const end = Date.now() + timeoutMs;
+    while (Date.now() < end) {
+      if (await condition().catch(() => false)) return;
+      await sleep(POLL_MS);
+    }
+    throw new Error(`${what}: not within ${timeoutMs} ms; logs are in ${this.folder}`);
+  }
+
+  /** Waits until every slot is known to the entries. */
+  async untilAgentsConnected(): Promise<void> {
+    await this.until('agents connected', async () => {
+      const statuses = await Promise.all(
+        this.agents.map(({ http }) => callEntry(http, 'GET', '/health')),
+      );
+      return statuses.every(
+        ({ body }) => body['target'] !== '' && body['entries'] === this.entries.length,
+      );
+    });
+  }
+
+  /** Ends every program: gracefully, then by force. */
+  async stop(): Promise<void> {
+    const programs = [...this.targets, ...this.agents, ...this.entries, this.store].filter(Boolean);
+    programs.forEach(({ process: child }) => child.kill('SIGKILL'));
+    await Promise.all(programs.map((program) => this.untilExit(program)));
+  }
+
+  /** Waits for the end of a program. */
+  async untilExit({ name, process: child }: Program): Promise<number | null> {
+    await this.until(
+      `${name} ends`,
+      async () => child.exitCode !== null || child.signalCode !== null,
+      EXIT_TIMEOUT_MS,
+    );
+    return child.exitCode;
+  }
+
+  private async startAll(): Promise<void> {
+    const { entries, agents } = this.size;
+    const storeHttp = await this.addressOf('store');
+    this.store = this.launch('storeStandIn', 'store', storeHttp, '', { http: storeHttp });
+    const isUp = async () => (await callEntry(storeHttp, 'GET', '/faults')).status === 200;
+    await this.until('store answers', isUp);
+    for (let index = 0; index < entries; index += 1) {
+      await this.startEntry(index);
+    }
+    for (let index = 0; index < agents; index += 1) {
+      await this.startAgent(index);
+      await this.startTarget(index);
+    }
+  }
+
+  private async startTarget(index: number): Promise<void> {
+    const name = `target-${index + 1}`;
+    const http = await this.addressOf(name);
+    const { slowness = [], slots = 8 } = this.size;
+    this.targets[index] = this.launch('targetStandIn', name, http, this.dataCenterOf(index), {
+      name,
+      http,
+      agent: this.agents[index]?.http,
+      slots,
+      behavior: { slowness: slowness[index % Math.max(1, slowness.length)] ?? 1 },
+      records: this.records,
+    });
+  }
+
+  private async applyEnvironment(environment: unknown): Promise<void> {
+    const [first] = this.addresses;
+    await this.until('environment applied', async () => {
+      const body = { environment, expected: -1, author: 'local' };
+      const { status } = await callEntry(first ?? '', 'PUT', '/v1/environment', body);
+      return status === 200;
+    });
+    await this.until('entries ready', async () => {
+      const answers = await Promise.all(
+        this.addresses.map((address) => callEntry(address, 'GET', '/health/ready')),
+      );
+      return answers.every(({ status }) => status === 200);
+    });
+    await this.untilAgentsConnected();
+  }
+
+  private dataCenterOf(index: number): string {
+    const { dataCenters } = this.size;
+    return dataCenters[index % dataCenters.length] ?? '';
+  }
+
+  private async addressOf(name: string): Promise<string> {
+    const port = this.ports.get(name) ?? (await findPort());
+    this.ports.set(name, port);
+    return `127.0.0.1:${port}`;
+  }
+
+  private launch(
+    program: string,
+    name: string,
+    http: string,
+    dataCenter: string,
+    settings: object,
+  ): Program {
+    const file = join(this.folder, `${name}.jsonc`);
+    const isDaemon = program === 'entry' || program === 'agent';
+    const common = isDaemon ? { logLevel: this.size.logLevel ?? 'info' } : {};
+    writeFileSync(file, JSON.stringify({ ...settings, ...common }, null, 2));
+    const output = openSync(join(this.folder, `${name}.log`), 'a');
+    const child = spawn(process.execPath, [join(__dirname, `${program}.js`), file], {
+      stdio: ['ignore', output, output],
+    });
+    return { name, process: child, http, dataCenter };
+  }
+}
--- /dev/null
+++ b/marjorammast-app/src/marjorammast.ts
@@ -0,0 +1,1 @@
+process.stdout.write('');
--- /dev/null
+++ b/packages/agent/src/index.ts
@@ -0,0 +1,6 @@
+export * from './Agent';
+export * from './gate';
+export * from './http';
+export * from './runTask';
+export * from './Slots';
+export * from './StartRecords';
--- /dev/null
+++ b/packages/agent/src/runTask.ts
@@ -0,0 +1,83 @@
+import { Pool } from 'undici';
+import { z } from 'zod';
+import type { Outcome, Start } from '@marjorammast/protocol';
+
+/** Where a target takes tasks. */
+export type Target = { address: string; slots: number; connections: number };
+
+/** End of one try to run a task; `notSent` when the target certainly did not get it. */
+export type Run = { type: 'notSent'; detail: string } | { type: 'ended'; outcome: Outcome };
+
+/** Runs one task at the target. */
+export type TaskRunner = (target: Target, start: Start, signal: AbortSignal) => Promise<Run>;
+
+const UNSENT_CODES = ['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH'];
+
+const CONNECT_TIMEOUT_MS = 500;
+
+const answerSchema = z.object({ result: z.json() });
+
+const outcomeOfResponse = (status: number, text: string): Outcome => {
+  if (status !== 200)
+    return { type: 'error', detail: `target answered ${status}: ${text.slice(0, 500)}` };
+  try {
+    return { type: 'done', result: answerSchema.parse(JSON.parse(text)).result };
+  } catch {
+    return { type: 'error', detail: 'target answered with an invalid body' };
+  }
+};
+
+const runOfError = (error: unknown): Run => {
+  const { code, message } = error as { code?: string; message?: string };
+  const detail = `${code ?? ''} ${message ?? String(error)}`.trim();
+  if (code && UNSENT_CODES.includes(code)) return { type: 'notSent', detail };
+  return { type: 'ended', outcome: { type: 'unknown', detail } };
+};
+
+/**
+ * Creates a runner that calls targets over HTTP.
+ *
+ * @returns the runner
+ */
+export const createHttpRunner = (): TaskRunner => {
+  let pool: Pool | undefined;
+  let origin = '';
+
+  const poolOf = (target: Target): Pool => {
+    const next = `http://${target.address}`;
+    if (!pool || origin !== next) {
+      void pool?.close();
+      origin = next;
+      pool = new Pool(origin, {
+        connections: target.connections,
+        pipelining: 1,
+        connect: { timeout: CONNECT_TIMEOUT_MS },
+      });
+    }
+    return pool;
+  };
+
+  return async (target, start, signal) => {
+    try {
+      const response = await poolOf(target).request({
+        path: '/tasks',
+        method: 'POST',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify({
+          job: start.job,
+          index: start.index,
+          kind: start.kind,
+          payload: start.payload,
+          deadlineMs: start.deadlineMs,
+        }),
+        headersTimeout: start.deadlineMs,
+        bodyTimeout: start.deadlineMs,
+        signal,
+      });
+      const text = await response.body.text();
+      return { type: 'ended', outcome: outcomeOfResponse(response.statusCode, text) };
+    } catch (error) {
+      return runOfError(error);
+    }
+  };
+};
--- /dev/null
+++ b/packages/agent/tests/gate.test.ts
@@ -0,0 +1,82 @@
+import fc from 'fast-check';
+import { FRESHNESS_MS } from '@marjorammast/protocol';
+import type { Start } from '@marjorammast/protocol';
+import { gate, newsAge } from '../src/gate';
+import type { GateView } from '../src/gate';
+
+const SEED = 20261204;
+
+const start: Start = {
+  job: 'siam/one',
+  index: 0,
+  count: 1,
+  digest: 'd',
+  notAfter: 1_000_000,
+  shard: 1,
+  epoch: 3,
+  kind: 'receipt-check',
+  payload: null,
+  deadlineMs: 1_000,
+  version: 4,
+  newsAgeMs: 100,
+  echo: 5_000,
+  heldMs: 50,
+  credit: { slot: 0, generation: 1 },
+};
+
+const view: GateView = {
+  dataCenter: 'ayutthaya',
+  agent: 'agent-1',
+  slice: { version: 4, outDataCenters: [], draining: [] },
+  hasTarget: true,
+  epoch: 3,
+  isCreditValid: true,
+  isKnownTask: false,
+  isBarredTask: false,
+  clock: 5_060,
+  wallTime: 900_000,
+};
+
+describe('gate', () => {
+  it('lets a current start through', () => {
+    expect(gate(start, view)).toBeUndefined();
+  });
+
+  it.each([
+    ['duplicate', { isKnownTask: true }, {}],
+    ['revoked', { isBarredTask: true }, {}],
+    ['staleEpoch', { epoch: 4 }, {}],
+    ['configurationBehind', {}, { version: 5 }],
+    ['staleNews', { clock: 5_060 + FRESHNESS_MS }, {}],
+    ['dataCenterOut', { slice: { ...view.slice, outDataCenters: ['ayutthaya'] } }, {}],
+    ['targetDraining', { slice: { ...view.slice, draining: ['agent-1'] } }, {}],
+    ['noTarget', { hasTarget: false }, {}],
+    ['expired', { wallTime: 1_000_001 }, {}],
+    ['expired', {}, { deadlineMs: 0 }],
+    ['staleCredit', { isCreditValid: false }, {}],
+  ])('refuses with %s', (refusal, changedView, changedStart) => {
+    expect(gate({ ...start, ...changedStart }, { ...view, ...changedView })).toBe(refusal);
+  });
+
+  it('bounds the age of the news by its true age, whatever the transit times', () => {
+    fc.assert(
+      fc.property(
+        fc.nat(5_000),
+        fc.nat(5_000),
+        fc.nat(60_000),
+        fc.nat(5_000),
+        fc.integer({ min: -1e6, max: 1e6 }),
+        (newsAgeAtSend, echoTransit, held, startTransit, offset) => {
+          // The agent's clock and the entry's clock differ by an unknown offset.
+          const echoSentAt = 1_000 + offset;
+          const startReceivedAt = echoSentAt + echoTransit + held + startTransit;
+          const sent = { ...start, newsAgeMs: newsAgeAtSend, echo: echoSentAt, heldMs: held };
+          expect(newsAge(sent, startReceivedAt)).toBeGreaterThanOrEqual(
+            newsAgeAtSend + startTransit,
+          );
+        },
+      ),
+      { seed: SEED, numRuns: 500 },
+    );
+  });
+});
--- /dev/null
+++ b/packages/entry/src/AgentController.ts
@@ -0,0 +1,265 @@
+import { CALL_TIMEOUT_MS, CallError, START_SILENCE_MS } from '@marjorammast/protocol';
+import type { Credit, Link, Params, Policy, Result, Slice, Start } from '@marjorammast/protocol';
+import type { Log, Timeline } from '@marjorammast/telemetry';
+import { CreditPool } from './CreditPool';
+import { SpeedEstimates } from './SpeedEstimates';
+
+/** One connected agent. */
+export type ConnectedAgent = {
+  name: string;
+  incarnation: string;
+  dataCenter: string;
+  link: Link;
+  /** Newest reading of the agent's clock, and when it came. */
+  echo: number;
+  echoAt: number;
+  lastHeardAt: number;
+  pendingStarts: number;
+  isSuspected: boolean;
+  isProbing: boolean;
+  failures: number;
+  ejectedUntil: number;
+  version: number;
+};
+
+/** What the agent controller needs of the entry. */
+export type AgentHost = {
+  name: string;
+  policy: () => Policy;
+  slice: () => Slice;
+  entries: () => string[];
+  epochs: () => number[];
+  /** Records the agent in the store; false while that is not possible. */
+  register: (agent: string, incarnation: string) => Promise<boolean>;
+  /** An agent is connected and may be asked about earlier starts. */
+  connected: (agent: ConnectedAgent) => void;
+  /** There are credits that may be used. */
+  creditsArrived: () => void;
+  log: Log;
+  timeline: Timeline;
+};
+
+/** The part of a start that the agent controller adds. */
+export type StartBody = Omit<Start, 'echo' | 'heldMs' | 'credit'>;
+
+/** Connected agents, their credits, their speed and their health. */
+export class AgentController {
+  readonly pool = CreditPool.create();
+
+  readonly speeds: SpeedEstimates;
+
+  private readonly agents = new Map<string, ConnectedAgent>();
+
+  private constructor(private readonly host: AgentHost) {
+    this.speeds = SpeedEstimates.create(() => host.policy().learningRate);
+  }
+
+  /**
+   * @param host - what the controller needs of the entry
+   * @returns a controller without agents
+   */
+  static create(host: AgentHost): AgentController {
+    return new AgentController(host);
+  }
+
+  /** All connected agents. */
+  list(): ConnectedAgent[] {
+    return [...this.agents.values()];
+  }
+
+  /** A connected agent. */
+  find(name: string, incarnation?: string): ConnectedAgent | undefined {
+    const agent = this.agents.get(name);
+    return !incarnation || agent?.incarnation === incarnation ? agent : undefined;
+  }
+
+  /**
+   * Serves an agent's calls on a link.
+   *
+   * @param link - link that another process opened
+   */
+  serve(link: Link): void {
+    let agent: ConnectedAgent | undefined;
+    link.serve({
+      hello: async (hello) => {
+        const registered = await this.host.register(hello.agent, hello.incarnation);
+        if (registered && !agent) agent = this.connect(link, hello);
+        return {
+          entry: this.host.name,
+          registered,
+          epochs: this.host.epochs(),
+          entries: this.host.entries(),
+          slice: this.host.slice(),
+        };
+      },
+      grant: ({ credits, clock }) => {
+        if (agent) this.takeGrant(agent, credits, clock);
+        return {};
+      },
+      revoke: ({ slots }) => {
+        if (agent) this.pool.remove(agent.name, slots);
+        return {};
+      },
+      audit: ({ credits }) => ({ held: agent ? this.pool.held(agent.name, credits) : [] }),
+    });
+  }
+
+  /** True when the agent may be sent work. */
+  isUsable(agent: ConnectedAgent): boolean {
+    const slice = this.host.slice();
+    return (
+      !agent.isSuspected &&
+      agent.ejectedUntil <= performance.now() &&
+      !slice.outDataCenters.includes(agent.dataCenter) &&
+      !slice.draining.includes(agent.name)
+    );
+  }
+
+  /**
+   * Sends one start with a credit taken from the pool.
+   *
+   * @param agent - where to
+   * @param credit - the credit
+   * @param body - the start
+   * @returns the agent's answer
+   * @throws CallError when there is none
+   */
+  async start(agent: ConnectedAgent, credit: Credit, body: StartBody): Promise<Result<'start'>> {
+    const { echo } = agent;
+    const heldMs = performance.now() - agent.echoAt;
+    agent.pendingStarts += 1;
+    try {
+      const answer = await agent.link.call('start', { ...body, echo, heldMs, credit }, 0);
+      this.hear(agent, answer.clock);
+      if (answer.credit && agent.link.isOpen) this.pool.add(agent.name, [answer.credit]);
+      if (answer.type === 'finished') this.judge(agent, body.kind, answer);
+      return answer;
+    } finally {
+      agent.pendingStarts -= 1;
+    }
+  }
+
+  /**
+   * Sends the configuration to an agent that has an older one.
+   *
+   * @param agent - the agent
+   * @returns true when the agent has it in force
+   */
+  async configure(agent: ConnectedAgent): Promise<boolean> {
+    const slice = this.host.slice();
+    try {
+      const params = { slice, entries: this.host.entries() };
+      const { version } = await agent.link.call('configure', params);
+      agent.version = version;
+      return version >= slice.version;
+    } catch {
+      return false;
+    }
+  }
+
+  /** Looks for agents that owe an answer and have been silent. */
+  supervise(): void {
+    const now = performance.now();
+    this.agents.forEach((agent) => {
+      const isSilent = now - agent.lastHeardAt > START_SILENCE_MS;
+      if ((agent.pendingStarts > 0 || agent.isSuspected) && isSilent && !agent.isProbing) {
+        void this.probe(agent);
+      }
+    });
+  }
+
+  private connect(link: Link, hello: Params<'hello'>): ConnectedAgent {
+    const { agent: name, incarnation, dataCenter } = hello;
+    const now = performance.now();
+    this.agents.get(name)?.link.close();
+    const agent: ConnectedAgent = {
+      name,
+      incarnation,
+      dataCenter,
+      link,
+      echo: hello.clock,
+      echoAt: now,
+      lastHeardAt: now,
+      pendingStarts: 0,
+      isSuspected: false,
+      isProbing: false,
+      failures: 0,
+      ejectedUntil: 0,
+      version: -1,
+    };
+    this.agents.set(name, agent);
+    link.onClose(() => this.disconnect(agent));
+    this.host.log.info({ agent: name, incarnation, dataCenter }, 'agent_connected');
+    this.host.timeline.record('agentConnected', { agent: name, incarnation });
+    this.host.connected(agent);
+    return agent;
+  }
+
+  private disconnect(agent: ConnectedAgent): void {
+    if (this.agents.get(agent.name) !== agent) return;
+    this.agents.delete(agent.name);
+    this.pool.remove(agent.name);
+    this.host.log.info({ agent: agent.name }, 'agent_disconnected');
+    this.host.timeline.record('agentDisconnected', { agent: agent.name });
+  }
+
+  private takeGrant(agent: ConnectedAgent, credits: readonly Credit[], clock: number): void {
+    this.hear(agent, clock);
+    this.pool.add(agent.name, credits);
+    this.host.creditsArrived();
+  }
+
+  private hear(agent: ConnectedAgent, clock?: number): void {
+    const now = performance.now();
+    agent.lastHeardAt = now;
+    agent.isSuspected = false;
+    if (clock === undefined) return;
+    agent.echo = clock;
+    agent.echoAt = now;
+  }
+
+  private async probe(agent: ConnectedAgent): Promise<void> {
+    agent.isProbing = true;
+    try {
+      await agent.link.call('status', {}, CALL_TIMEOUT_MS);
+      this.hear(agent);
+      this.host.creditsArrived();
+    } catch (error) {
+      const isLost = error instanceof CallError && error.fault === 'lost';
+      if (isLost && !agent.isSuspected) {
+        agent.isSuspected = true;
+        this.host.log.warn({ agent: agent.name }, 'agent_suspected');
+        this.host.timeline.record('agentSuspected', { agent: agent.name });
+      }
+    } finally {
+      agent.isProbing = false;
+    }
+  }
+
+  private judge(
+    agent: ConnectedAgent,
+    kind: string,
+    answer: Extract<Result<'start'>, { type: 'finished' }>,
+  ): void {
+    if (answer.outcome.type === 'done') {
+      this.speeds.observe(agent.name, kind, answer.runMs);
+      agent.failures = 0;
+      return;
+    }
+    const failures = agent.failures + 1;
+    agent.failures = failures;
+    if (failures >= this.host.policy().ejectAfterFailures) this.eject(agent);
+  }
+
+  private eject(agent: ConnectedAgent): void {
+    const { ejectionMs, maxEjectedShare } = this.host.policy();
+    const now = performance.now();
+    const ejected = this.list().filter((other) => other.ejectedUntil > now).length;
+    if (ejected + 1 > this.agents.size * maxEjectedShare) return;
+    // One failure after the return is enough to go out again.
+    const failures = this.host.policy().ejectAfterFailures - 1;
+    Object.assign(agent, { failures, ejectedUntil: now + ejectionMs });
+    this.host.log.warn({ agent: agent.name, ejectionMs }, 'agent_ejected');
+    this.host.timeline.record('agentEjected', { agent: agent.name, ejectionMs });
+  }
+}
--- /dev/null
+++ b/packages/entry/src/ClusterController.ts
@@ -0,0 +1,489 @@
+import { randomBytes } from 'node:crypto';
+import { z } from 'zod';
+import {
+  CLOCK_SKEW_MS,
+  CallError,
+  MAX_NOT_AFTER_MS,
+  NEWS_PERIOD_MS,
+  PEER_TIMEOUT_MS,
+  STORE_POLL_MS,
+  clusterMapSchema,
+  emptyMap,
+  shardsOf,
+  withFairShare,
+  withMember,
+  withoutMembers,
+} from '@marjorammast/protocol';
+import type {
+  ClusterMap,
+  Handlers,
+  Link,
+  Member,
+  Method,
+  Params,
+  Result,
+  ShardClaim,
+} from '@marjorammast/protocol';
+import { StoreError, swap } from '@marjorammast/store';
+import type { Snapshot, Store, StoredValue } from '@marjorammast/store';
+import type { Log, Timeline } from '@marjorammast/telemetry';
+import { AGENT_KEYS, BALANCE_PAUSE_MS, ENVIRONMENT_KEY, MAP_KEY } from './constants';
+import { freshnessAge } from './freshness';
+import type { PeerNews } from './freshness';
+
+/** What the cluster controller needs of the entry. */
+export type ClusterHost = {
+  member: Member;
+  prefix: string;
+  store: Store;
+  dial: (address: string, handlers: Handlers) => Promise<Link>;
+  version: () => number;
+  /** Takes the environment as read from the store. */
+  takeEnvironment: (value: StoredValue) => void;
+  /** Asks a peer that knows more for its configuration. */
+  catchUp: (peer: string) => Promise<void>;
+  /** The shards of this entry have changed. */
+  ownershipChanged: (gained: ShardClaim[], lost: number[]) => void;
+  /** Called when the entry's news may have become fresh. */
+  refreshed: () => void;
+  log: Log;
+  timeline: Timeline;
+};
+
+type Peer = { member: Member; link?: Link; lastHeardAt: number; news?: PeerNews };
+
+/** Makes a value different from every other one, so that a lost reply can be settled. */
+export const withNonce = (value: object): string =>
+  JSON.stringify({ ...value, nonce: randomBytes(6).toString('hex') });
+
+/** An agent process that may hold started-records. */
+export type RegisteredAgent = { name: string; incarnation: string };
+
+const agentProcessSchema = z.object({
+  incarnation: z.string(),
+  /** Wall-clock time at which a later process of the same agent was recorded. */
+  replacedAt: z.number().optional(),
+});
+
+const agentRecordSchema = z.object({ processes: z.array(agentProcessSchema) });
+
+type AgentProcess = z.infer<typeof agentProcessSchema>;
+
+/** True while a key that a replaced process may have started can still be submitted again. */
+const isRelevant = ({ replacedAt }: AgentProcess): boolean =>
+  replacedAt === undefined || Date.now() < replacedAt + MAX_NOT_AFTER_MS + 2 * CLOCK_SKEW_MS;
+
+/** Membership of the entries, ownership of shards, and how current this entry's knowledge is. */
+export class ClusterController {
+  map: ClusterMap = emptyMap();
+
+  mapRevision = 0;
+
+  /** Processes of each agent, newest first, as recorded in the store. */
+  private readonly registered = new Map<string, AgentProcess[]>();
+
+  private readonly peers = new Map<string, Peer>();
+
+  private readonly agentRevisions = new Map<string, number>();
+
+  /** Revision of the map in which this process first stood. */
+  private joinRevision = Infinity;
+
+  private storeReadAt = -Infinity;
+
+  private readRevision = 0;
+
+  private unsettledWrites = 0;
+
+  private isJoined = false;
+
+  private hasLeft = false;
+
+  private polling: Promise<boolean> | undefined;
+
+  private timers: NodeJS.Timeout[] = [];
+
+  private endWatch: () => void = () => undefined;
+
+  private constructor(private readonly host: ClusterHost) {}
+
+  /**
+   * @param host - what the controller needs of the entry
+   * @returns a controller that has not started
+   */
+  static create(host: ClusterHost): ClusterController {
+    return new ClusterController(host);
+  }
+
+  /** True once this process is in the map. */
+  get isMember(): boolean {
+    return this.isJoined && !this.hasLeft;
+  }
+
+  /** Starts to read the store, to join and to exchange news. */
+  start(): void {
+    const { store, prefix } = this.host;
+    this.endWatch = store.watch(prefix, () => void this.poll());
+    this.timers = [
+      setInterval(() => void this.poll(), STORE_POLL_MS),
+      setInterval(() => this.exchangeNews(), NEWS_PERIOD_MS),
+      setInterval(() => void this.balance(), BALANCE_PAUSE_MS),
+    ];
+    void this.poll();
+  }
+
+  /** Ends all activity, as a crash would. */
+  halt(): void {
+    this.hasLeft = true;
+    this.endWatch();
+    this.timers.forEach((timer) => clearInterval(timer));
+    this.peers.forEach(({ link }) => link?.close());
+  }
+
+  /** Age of this entry's news, in milliseconds. */
+  age(): number {
+    const peers = this.map.members
+      .filter(({ name }) => name !== this.host.member.name)
+      .map(({ name }) => this.peers.get(name)?.news);
+    return freshnessAge(
+      {
+        version: this.host.version(),
+        mapRevision: this.mapRevision,
+        storeReadAt: this.storeReadAt,
+        isUnsettled: this.unsettledWrites > 0 || !this.isMember,
+        peers,
+      },
+      performance.now(),
+    );
+  }
+
+  /** Epochs of all shards. */
+  epochs(): number[] {
+    return this.map.shards.map(({ epoch }) => epoch);
+  }
+
+  /** Members other than this entry. */
+  others(): Member[] {
+    return this.map.members.filter(({ name }) => name !== this.host.member.name);
+  }
+
+  /** This entry's answer to a peer that asks for news. */
+  news(): Result<'news'> {
+    const now = performance.now();
+    return {
+      incarnation: this.host.member.incarnation,
+      version: this.host.version(),
+      mapRevision: this.mapRevision,
+      storeAgeMs: Math.min(1e12, now - this.storeReadAt),
+      unsettled: this.unsettledWrites > 0 || !this.isJoined,
+      unreachable: [...this.peers.values()]
+        .filter((peer) => now - peer.lastHeardAt > PEER_TIMEOUT_MS)
+        .map((peer) => peer.member.name),
+    };
+  }
+
+  /** Members that have not answered for a while. */
+  unreachable(): string[] {
+    return this.news().unreachable;
+  }
+
+  /**
+   * Calls a peer.
+   *
+   * @param name - name of the peer
+   * @param method - name of the call
+   * @param params - its parameters
+   * @param timeoutMs - time to wait, in milliseconds
+   * @returns the result
+   * @throws CallError when there is none
+   */
+  async call<M extends Method>(
+    name: string,
+    method: M,
+    params: Params<M>,
+    timeoutMs?: number,
+  ): Promise<Result<M>> {
+    const peer = this.peers.get(name);
+    if (!peer) throw CallError.create('notSent', `${name} is not a member`);
+    if (!peer.link?.isOpen) {
+      try {
+        peer.link = await this.host.dial(peer.member.address, {});
+      } catch (error) {
+        throw CallError.create('notSent', `${name}: ${String(error)}`);
+      }
+    }
+    return peer.link.call(method, params, timeoutMs);
+  }
+
+  /**
+   * Runs a write to the store; until it is settled this entry vouches for nothing.
+   *
+   * @param key - key below the prefix
+   * @param revision - expected revision
+   * @param value - new value, different from every earlier one
+   */
+  async write(key: string, revision: number, value: string): ReturnType<typeof swap> {
+    this.unsettledWrites += 1;
+    const result = await swap(this.host.store, `${this.host.prefix}${key}`, revision, value);
+    if (result.type === 'unsettled') this.settleLater(key, revision, value);
+    else this.unsettledWrites -= 1;
+    await this.poll();
+    return result;
+  }
+
+  /**
+   * Reads what has changed in the store.
+   *
+   * @returns true when the store answered
+   */
+  async poll(): Promise<boolean> {
+    const before = this.polling;
+    if (before) await before;
+    if (this.polling) return this.polling;
+    this.polling = this.readStore().finally(() => {
+      this.polling = undefined;
+    });
+    return this.polling;
+  }
+
+  /**
+   * Records an agent in the store, so that a later owner knows whom to ask.
+   *
+   * @param name - name of the agent
+   * @param incarnation - its process
+   * @returns true when the record is there and the map was read after it
+   */
+  async register(name: string, incarnation: string): Promise<boolean> {
+    const isRecorded = () => this.registered.get(name)?.[0]?.incarnation === incarnation;
+    if (isRecorded()) return true;
+    if (!(await this.poll())) return false;
+    if (isRecorded()) return true;
+    // Earlier processes stay listed: their started-records are lost, which an owner must know.
+    const earlier = (this.registered.get(name) ?? [])
+      .map((process) => ({ replacedAt: Date.now(), ...process }))
+      .filter(isRelevant);
+    const value = JSON.stringify({ processes: [{ incarnation }, ...earlier] });
+    const key = `${this.host.prefix}${AGENT_KEYS}${name}`;
+    const written = await swap(this.host.store, key, this.agentRevisions.get(name) ?? 0, value);
+    await this.poll();
+    return written.type === 'written' && isRecorded();
+  }
+
+  /** Every agent process that may hold started-records. */
+  registeredAgents(): RegisteredAgent[] {
+    return [...this.registered].flatMap(([name, processes]) =>
+      processes.filter(isRelevant).map(({ incarnation }) => ({ name, incarnation })),
+    );
+  }
+
+  /**
+   * Takes a map that a peer has told.
+   *
+   * @param map - the peer's map
+   * @param revision - its revision
+   */
+  takeMap(map: ClusterMap, revision: number): void {
+    if (revision <= this.mapRevision) return;
+    const before = this.map;
+    this.map = map;
+    this.mapRevision = revision;
+    this.updatePeers();
+    this.compareOwnership(before);
+  }
+
+  /**
+   * Gives all shards away and leaves the map.
+   *
+   * @returns true when other entries own the shards now
+   */
+  async leave(): Promise<boolean> {
+    const next = withoutMembers(this.map, [this.host.member.name]);
+    if (next.members.length === 0) return false;
+    const left = await this.writeMap(next);
+    if (left) this.isJoined = false;
+    return left;
+  }
+
+  /** True when a peer is known to count this entry as a member. */
+  isKnownTo(name: string): boolean {
+    const news = this.peers.get(name)?.news?.news;
+    return news !== undefined && news.mapRevision >= this.joinRevision;
+  }
+
+  /** Notes that a peer has stopped for good, or answers for itself again. */
+  noteFarewell(name: string): void {
+    const peer = this.peers.get(name);
+    if (peer?.news) peer.news = { ...peer.news, hasLeft: true };
+  }
+
+  /** Finds out whether a write with a lost reply took effect, and makes sure it no longer can. */
+  private settleLater(key: string, revision: number, value: string): void {
+    const retry = async (): Promise<void> => {
+      if (this.hasLeft) return;
+      try {
+        if (!(await this.settle(key, revision, value))) throw StoreError.create('still unsettled');
+        this.unsettledWrites -= 1;
+        await this.poll();
+      } catch {
+        setTimeout(() => void retry(), STORE_POLL_MS);
+      }
+    };
+    setTimeout(() => void retry(), STORE_POLL_MS);
+  }
+
+  private async settle(key: string, revision: number, value: string): Promise<boolean> {
+    const { store, prefix } = this.host;
+    const full = `${prefix}${key}`;
+    const found = (await store.read(full)).values.find((stored) => stored.key === full);
+    if ((found?.revision ?? 0) !== revision) return true;
+    // The key has not moved, so the lost write may still arrive: moving the key bars it.
+    const neutral = found ? withNonce(JSON.parse(found.value) as object) : value;
+    return (await store.compareAndSwap(full, revision, neutral)) !== undefined;
+  }
+
+  private async readStore(): Promise<boolean> {
+    const { store, prefix } = this.host;
+    const readAt = performance.now();
+    try {
+      const snapshot = await store.read(prefix, this.readRevision + 1);
+      if (this.hasLeft) return false;
+      this.takeSnapshot(snapshot);
+      this.storeReadAt = readAt;
+    } catch {
+      return false;
+    }
+    if (!this.isMember && !this.hasLeft) void this.join();
+    else void this.removeUnreachable();
+    this.host.refreshed();
+    return true;
+  }
+
+  private takeSnapshot(snapshot: Snapshot): void {
+    const { prefix } = this.host;
+    snapshot.values.forEach((value) => {
+      const key = value.key.slice(prefix.length);
+      if (key.startsWith(AGENT_KEYS)) this.takeAgent(key.slice(AGENT_KEYS.length), value);
+      if (key === ENVIRONMENT_KEY) this.host.takeEnvironment(value);
+    });
+    const map = snapshot.values.find(({ key }) => key === `${prefix}${MAP_KEY}`);
+    if (map && map.revision > this.mapRevision) {
+      const parsed = clusterMapSchema.parse(JSON.parse(map.value));
+      this.takeMap(parsed, map.revision);
+    }
+    this.readRevision = Math.max(this.readRevision, snapshot.revision);
+  }
+
+  private takeAgent(name: string, value: StoredValue): void {
+    if ((this.agentRevisions.get(name) ?? 0) >= value.revision) return;
+    const { processes } = agentRecordSchema.parse(JSON.parse(value.value));
+    this.agentRevisions.set(name, value.revision);
+    this.registered.set(name, processes);
+  }
+
+  private isJoining = false;
+
+  private async join(): Promise<void> {
+    if (this.isJoining) return;
+    this.isJoining = true;
+    try {
+      if (await this.writeMap(withMember(this.map, this.host.member))) {
+        this.isJoined = true;
+        this.joinRevision = this.mapRevision;
+        this.host.log.info({ revision: this.mapRevision }, 'joined');
+        this.host.timeline.record('joined', { revision: this.mapRevision });
+        this.compareOwnership(emptyMap());
+        this.host.refreshed();
+      }
+    } finally {
+      this.isJoining = false;
+    }
+  }
+
+  private async writeMap(map: ClusterMap): Promise<boolean> {
+    const result = await this.write(MAP_KEY, this.mapRevision, withNonce(map));
+    return result.type === 'written' && this.mapRevision >= result.revision;
+  }
+
+  private updatePeers(): void {
+    const now = performance.now();
+    const others = this.others();
+    others.forEach((member) => {
+      const known = this.peers.get(member.name);
+      if (known?.member.incarnation === member.incarnation) return;
+      known?.link?.close();
+      this.peers.set(member.name, { member, lastHeardAt: now });
+    });
+    this.peers.forEach((peer, name) => {
+      if (others.some((member) => member.name === name)) return;
+      peer.link?.close();
+      this.peers.delete(name);
+    });
+  }
+
+  private compareOwnership(before: ClusterMap): void {
+    const { member, log, timeline } = this.host;
+    const self = this.map.members.find(({ name }) => name === member.name);
+    if (this.isJoined && self?.incarnation !== member.incarnation) {
+      this.isJoined = false;
+      log.warn({ revision: this.mapRevision }, 'removed_from_map');
+    }
+    const had = new Map(shardsOf(before, member.name).map(({ shard, epoch }) => [shard, epoch]));
+    const claims = this.isJoined ? shardsOf(this.map, member.name) : [];
+    const gained = claims.filter(({ shard, epoch }) => had.get(shard) !== epoch);
+    const kept = new Set(claims.map(({ shard }) => shard));
+    const lost = [...had.keys()].filter((shard) => !kept.has(shard));
+    if (gained.length === 0 && lost.length === 0) return;
+    timeline.record('ownershipChanged', {
+      revision: this.mapRevision,
+      gained: gained.length,
+      lost: lost.length,
+    });
+    log.info(
+      { revision: this.mapRevision, gained: gained.length, lost: lost.length },
+      'ownership_changed',
+    );
+    this.host.ownershipChanged(gained, lost);
+  }
+
+  private exchangeNews(): void {
+    this.peers.forEach((peer, name) => void this.askNews(name, peer));
+  }
+
+  private async askNews(name: string, peer: Peer): Promise<void> {
+    const askedAt = performance.now();
+    const { member } = this.host;
+    try {
+      const params = { from: member.name, incarnation: member.incarnation };
+      const news = await this.call(name, 'news', params);
+      if (news.incarnation !== peer.member.incarnation) return;
+      peer.lastHeardAt = performance.now();
+      peer.news = { news, askedAt, hasLeft: false };
+      const isBehind = news.version > this.host.version() || news.mapRevision > this.mapRevision;
+      if (isBehind) await this.host.catchUp(name);
+      this.host.refreshed();
+    } catch {
+      // Silence is noticed by the age of the newest answer.
+    }
+  }
+
+  private async removeUnreachable(): Promise<void> {
+    const mine = this.unreachable();
+    if (mine.length === 0 || this.unsettledWrites > 0) return;
+    const reachable = [...this.peers.values()].filter(
+      (peer) => !mine.includes(peer.member.name) && peer.news,
+    );
+    const gone = mine.filter((name) =>
+      reachable.every((peer) => peer.news?.news.unreachable.includes(name)),
+    );
+    if (gone.length === 0) return;
+    this.host.log.warn({ gone: gone.join(',') }, 'removing_unreachable');
+    this.host.timeline.record('removing', { gone: gone.join(',') });
+    await this.writeMap(withoutMembers(this.map, gone));
+  }
+
+  private async balance(): Promise<void> {
+    if (!this.isMember || this.unsettledWrites > 0 || this.unreachable().length > 0) return;
+    const next = withFairShare(this.map, this.host.member.name);
+    if (next !== this.map) await this.writeMap(next);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/Dispatcher.ts
@@ -0,0 +1,295 @@
+import { match } from 'ts-pattern';
+import { CallError, FRESHNESS_MS, failure } from '@marjorammast/protocol';
+import type { Outcome, Refusal, Result } from '@marjorammast/protocol';
+import type { Log, Metrics } from '@marjorammast/telemetry';
+import type { AgentController, ConnectedAgent } from './AgentController';
+import {
+  CREDIT_REQUEST_MAX_MS,
+  CREDIT_REQUEST_MS,
+  FRESHNESS_MARGIN_MS,
+  MAX_REFUSALS_PER_TASK,
+} from './constants';
+import { FairQueue } from './FairQueue';
+import type { QueueShares, QueuedTask } from './FairQueue';
+import type { Job } from './Job';
+import type { Placement } from './placement';
+
+/** What the dispatcher needs of the entry. */
+export type DispatchHost = {
+  agents: AgentController;
+  shares: () => QueueShares;
+  place: Placement;
+  newsAgeMs: () => number;
+  version: () => number;
+  epochOf: (shard: number) => number;
+  conclude: (job: Job) => void;
+  fail: (job: Job, reason: ReturnType<typeof failure>) => void;
+  /** Asks the other entries for idle credits; gives the number that came. */
+  requestCredits: (want: number, pressure: number) => Promise<number>;
+  /** An agent has refused the epoch of a shard. */
+  deposed: (shard: number) => void;
+  log: Log;
+  metrics: Metrics;
+};
+
+/** Brings waiting tasks to agents, each start at most once. */
+export class Dispatcher {
+  readonly queue: FairQueue;
+
+  private inFlight = 0;
+
+  private creditPauseMs = CREDIT_REQUEST_MS;
+
+  private creditTimer: NodeJS.Timeout | undefined;
+
+  private isScheduled = false;
+
+  private constructor(private readonly host: DispatchHost) {
+    this.queue = FairQueue.create(host.shares);
+  }
+
+  /**
+   * @param host - what the dispatcher needs of the entry
+   * @returns a dispatcher with an empty queue
+   */
+  static create(host: DispatchHost): Dispatcher {
+    return new Dispatcher(host);
+  }
+
+  /** Number of starts without an answer. */
+  get running(): number {
+    return this.inFlight;
+  }
+
+  /** Tasks waiting for each credit that this entry holds. */
+  get pressure(): number {
+    return this.queue.length / Math.max(1, this.host.agents.pool.size + this.inFlight);
+  }
+
+  /**
+   * Adds tasks to the queue.
+   *
+   * @param job - their job
+   * @param indexes - the tasks
+   */
+  enqueue(job: Job, indexes: readonly number[]): void {
+    this.queue.add(job, indexes);
+    this.schedule();
+  }
+
+  /** Drops the waiting tasks of an answered job and cancels the running ones. */
+  drop(job: Job): void {
+    this.queue.remove(job);
+    job.sent.forEach(({ index, agent, incarnation }) => {
+      this.host.agents.find(agent, incarnation)?.link.notify('cancel', { job: job.id, index });
+    });
+  }
+
+  /** Starts waiting tasks soon, once for many calls in the same turn. */
+  schedule(): void {
+    if (this.isScheduled) return;
+    this.isScheduled = true;
+    setImmediate(() => {
+      this.isScheduled = false;
+      this.dispatch();
+    });
+  }
+
+  /**
+   * Learns what became of a task whose start was not answered.
+   *
+   * @param job - the job
+   * @param index - the task
+   * @param agent - agent that was sent the start
+   */
+  async resolve(job: Job, index: number, agent: ConnectedAgent): Promise<void> {
+    try {
+      const params = { job: job.id, index, notAfter: job.notAfter };
+      const answer = await agent.link.call('outcome', params, 0);
+      if (job.tasks[index]?.type !== 'sent') return;
+      if (answer.type === 'finished') this.finish(job, index, answer.outcome);
+      else this.requeue(job, index);
+    } catch {
+      // The agent is asked again when it has connected again, until the deadline.
+    }
+  }
+
+  /**
+   * Gives up on a task whose agent process is gone.
+   *
+   * @param job - the job
+   * @param index - the task
+   * @param detail - what happened
+   */
+  lose(job: Job, index: number, detail: string): void {
+    this.finish(job, index, { type: 'unknown', detail });
+  }
+
+  /** Stops asking for credits. */
+  halt(): void {
+    clearTimeout(this.creditTimer);
+  }
+
+  private dispatch(): void {
+    if (this.host.newsAgeMs() > FRESHNESS_MS - FRESHNESS_MARGIN_MS) return;
+    let idle = this.usableAgents();
+    while (idle.length > 0) {
+      const task = this.queue.next();
+      if (!task) return;
+      const agent = this.pick(task, idle);
+      const credit = agent && this.host.agents.pool.take(agent.name);
+      if (!agent || !credit) {
+        this.queue.putBack(task);
+        break;
+      }
+      void this.send(task, agent, credit);
+      idle = this.usableAgents();
+    }
+    if (this.queue.length > 0) this.askForCredits();
+  }
+
+  private usableAgents(): ConnectedAgent[] {
+    const { agents } = this.host;
+    const usable: ConnectedAgent[] = [];
+    [...agents.pool.agents()].forEach((name) => {
+      const agent = agents.find(name);
+      if (agent && agents.isUsable(agent)) usable.push(agent);
+    });
+    return usable;
+  }
+
+  private pick({ job }: QueuedTask, idle: readonly ConnectedAgent[]): ConnectedAgent | undefined {
+    const kind = job.submission?.kind ?? '';
+    const candidates = idle.map(({ name }) => ({
+      agent: name,
+      expectedMs: this.host.agents.speeds.expect(name, kind),
+    }));
+    const chosen = this.host.place(candidates);
+    return idle.find(({ name }) => name === chosen);
+  }
+
+  private async send(
+    { job, index }: QueuedTask,
+    agent: ConnectedAgent,
+    credit: Parameters<AgentController['start']>[1],
+  ): Promise<void> {
+    const { submission } = job;
+    const task = submission?.tasks[index];
+    if (!submission || !task) {
+      this.queue.ended(job.team);
+      return;
+    }
+    job.tasks[index] = { type: 'sent', agent: agent.name, incarnation: agent.incarnation };
+    this.inFlight += 1;
+    try {
+      const answer = await this.host.agents.start(agent, credit, {
+        job: job.id,
+        index,
+        count: job.tasks.length,
+        digest: job.digest,
+        notAfter: job.notAfter,
+        shard: job.shard,
+        epoch: this.host.epochOf(job.shard),
+        kind: submission.kind,
+        payload: task.payload,
+        deadlineMs: job.deadlineAt - performance.now(),
+        version: this.host.version(),
+        newsAgeMs: this.host.newsAgeMs(),
+      });
+      this.takeAnswer(job, index, agent, answer);
+    } catch (error) {
+      this.takeFault(job, index, agent, error);
+    } finally {
+      this.inFlight -= 1;
+      this.queue.ended(job.team);
+      this.schedule();
+    }
+  }
+
+  private takeAnswer(
+    job: Job,
+    index: number,
+    agent: ConnectedAgent,
+    answer: Result<'start'>,
+  ): void {
+    if (job.tasks[index]?.type !== 'sent' || job.isReleased) return;
+    match(answer)
+      .with({ type: 'finished' }, ({ outcome }) => this.finish(job, index, outcome))
+      .with({ type: 'refused' }, ({ refusal }) => this.takeRefusal(job, index, agent, refusal))
+      .exhaustive();
+  }
+
+  private finish(job: Job, index: number, outcome: Outcome): void {
+    const mayRepeat = outcome.type === 'unknown' && job.submission?.idempotent && job.isOpen;
+    if (mayRepeat && job.refusals < MAX_REFUSALS_PER_TASK) {
+      this.requeue(job, index);
+      return;
+    }
+    job.tasks[index] = { type: 'finished', outcome };
+    this.host.conclude(job);
+  }
+
+  private takeRefusal(job: Job, index: number, agent: ConnectedAgent, refusal: Refusal): void {
+    this.host.metrics.count('starts.refused', 1, { refusal });
+    match(refusal)
+      .with('duplicate', () => void this.resolve(job, index, agent))
+      .with('staleEpoch', () => {
+        job.tasks[index] = { type: 'waiting' };
+        this.host.deposed(job.shard);
+      })
+      .with('configurationBehind', () => {
+        void this.host.agents.configure(agent).then(() => this.requeue(job, index));
+      })
+      .with('noTarget', () => {
+        this.host.agents.pool.remove(agent.name);
+        this.requeue(job, index);
+      })
+      .with('expired', () => {
+        job.tasks[index] = { type: 'waiting' };
+        this.host.fail(job, failure('expired', job.verdict, 'notAfter or the deadline has passed'));
+      })
+      .with('staleNews', 'staleCredit', 'dataCenterOut', 'targetDraining', 'revoked', () =>
+        this.requeue(job, index),
+      )
+      .exhaustive();
+  }
+
+  private takeFault(job: Job, index: number, agent: ConnectedAgent, error: unknown): void {
+    if (job.tasks[index]?.type !== 'sent' || job.isReleased) return;
+    const fault = error instanceof CallError ? error.fault : 'lost';
+    match(fault)
+      .with('notSent', () => this.requeue(job, index))
+      .with('remote', () => void this.resolve(job, index, agent))
+      .with('lost', () => undefined)
+      .exhaustive();
+  }
+
+  /** Puts a task back after a true `notRun` for its only transmission. */
+  private requeue(job: Job, index: number): void {
+    job.tasks[index] = { type: 'waiting' };
+    if (!job.isOpen) return;
+    job.refusals += 1;
+    if (job.refusals > MAX_REFUSALS_PER_TASK * job.tasks.length) {
+      const detail = `task ${index} was refused by every agent that was asked`;
+      this.host.fail(job, failure('unplaceable', job.verdict, detail, { task: index }));
+      return;
+    }
+    this.queue.add(job, [index], true);
+    this.schedule();
+  }
+
+  private askForCredits(): void {
+    if (this.creditTimer) return;
+    this.creditTimer = setTimeout(() => {
+      this.creditTimer = undefined;
+      if (this.queue.length > 0) void this.requestCredits();
+    }, this.creditPauseMs);
+  }
+
+  private async requestCredits(): Promise<void> {
+    const received = await this.host.requestCredits(this.queue.length, this.pressure);
+    this.creditPauseMs =
+      received > 0 ? CREDIT_REQUEST_MS : Math.min(CREDIT_REQUEST_MAX_MS, this.creditPauseMs * 2);
+    this.schedule();
+  }
+}
--- /dev/null
+++ b/packages/entry/src/Entry.ts
@@ -0,0 +1,583 @@
+import { randomBytes } from 'node:crypto';
+import { match } from 'ts-pattern';
+import { CALL_TIMEOUT_MS, MAX_NOT_AFTER_MS, failure, jobId, shardOf } from '@marjorammast/protocol';
+import type {
+  Answer,
+  Handlers,
+  JobState,
+  Link,
+  Member,
+  Params,
+  Result,
+  ShardClaim,
+  SingleRequest,
+  Submission,
+  TimelineEvent,
+} from '@marjorammast/protocol';
+import type { Store } from '@marjorammast/store';
+import { compareTimes } from '@marjorammast/telemetry';
+import type { Log, Metrics, Timeline } from '@marjorammast/telemetry';
+import { AgentController } from './AgentController';
+import type { ConnectedAgent } from './AgentController';
+import { ClusterController } from './ClusterController';
+import { SUPERVISION_MS } from './constants';
+import { Dispatcher } from './Dispatcher';
+import { EnvironmentController } from './EnvironmentController';
+import { Gateway } from './Gateway';
+import { Handover } from './Handover';
+import type { Job } from './Job';
+import { JobController } from './JobController';
+import { Ownership } from './Ownership';
+import type { Placement } from './placement';
+
+/** What an entry is made of. */
+export type EntryParts = {
+  name: string;
+  dataCenter: string;
+  /** RPC address that other processes use. */
+  address: string;
+  prefix: string;
+  store: Store;
+  dial: (address: string, handlers: Handlers) => Promise<Link>;
+  place: Placement;
+  log: Log;
+  metrics: Metrics;
+  timeline: Timeline;
+};
+
+/** Time a graceful stop waits for a peer to take note, in milliseconds. */
+const FAREWELL_TIMEOUT_MS = 300;
+
+const STOP_POLL_MS = 20;
+
+const sleep = (ms: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
+/** What a caller can learn about a job by its key. */
+export type JobView = Result<'find'> | { type: 'unreachable'; owner: string };
+
+/** Events of all processes, and the processes that could not be asked. */
+export type MergedTimeline = { events: TimelineEvent[]; missing: string[] };
+
+/** One entry process: callers' jobs in, starts at agents out. */
+export class Entry {
+  readonly member: Member;
+
+  readonly cluster: ClusterController;
+
+  readonly environment: EnvironmentController;
+
+  readonly agents: AgentController;
+
+  readonly ownership: Ownership;
+
+  readonly jobs: JobController;
+
+  readonly dispatcher: Dispatcher;
+
+  readonly gateway: Gateway;
+
+  private readonly handover: Handover;
+
+  /** Callers' requests in progress. */
+  openCalls = 0;
+
+  private isDraining = false;
+
+  private creditTurn = 0;
+
+  private timers: NodeJS.Timeout[] = [];
+
+  private constructor(readonly parts: EntryParts) {
+    const { name, dataCenter, address, log, metrics, timeline, prefix, store, dial } = parts;
+    const incarnation = randomBytes(6).toString('hex');
+    this.member = { name, incarnation, address, dataCenter };
+    this.environment = EnvironmentController.create({
+      cluster: () => this.cluster,
+      changed: () => this.pushConfiguration(),
+      log,
+      timeline,
+    });
+    this.cluster = ClusterController.create({
+      member: this.member,
+      prefix,
+      store,
+      dial,
+      version: () => this.environment.version,
+      takeEnvironment: (value) => this.environment.takeStored(value),
+      catchUp: (peer) => this.catchUp(peer),
+      ownershipChanged: (gained, lost) => this.changeOwnership(gained, lost),
+      refreshed: () => this.dispatcher.schedule(),
+      log,
+      timeline,
+    });
+    this.agents = AgentController.create({
+      name,
+      policy: () => this.environment.policy,
+      slice: () => this.environment.slice,
+      entries: () => this.cluster.map.members.map((member) => member.address),
+      epochs: () => this.cluster.epochs(),
+      register: (agent, process) => this.cluster.register(agent, process),
+      connected: (agent) => this.resumeTasks(agent),
+      creditsArrived: () => this.dispatcher.schedule(),
+      log,
+      timeline,
+    });
+    this.ownership = Ownership.create({
+      registeredAgents: () => this.cluster.registeredAgents(),
+      findAgent: (agent, process) => this.agents.find(agent, process),
+      takeRecords: (records, agent) =>
+        records.forEach((record) => {
+          const job = this.jobs.takeRecord(record, agent.name, agent.incarnation);
+          if (job) void this.dispatcher.resolve(job, record.index, agent);
+        }),
+      log,
+      timeline,
+    });
+    this.dispatcher = this.createDispatcher();
+    this.jobs = JobController.create({
+      environment: () => this.environment.release?.environment,
+      shard: (shard) => this.ownership.stateOf(shard),
+      enqueue: (job, indexes) => this.dispatcher.enqueue(job, indexes),
+      answered: (job) => this.dispatcher.drop(job),
+      queuedTasks: () => this.dispatcher.queue.length,
+      log,
+      metrics,
+      timeline,
+    });
+    this.gateway = this.createGateway();
+    this.handover = this.createHandover();
+  }
+
+  /**
+   * @param parts - what the entry is made of
+   * @returns an entry that has not started
+   */
+  static create(parts: EntryParts): Entry {
+    return new Entry(parts);
+  }
+
+  /** True when callers may be sent here. */
+  get isReady(): boolean {
+    return !this.isDraining && this.cluster.isMember && this.environment.version >= 0;
+  }
+
+  /** Starts to join the other entries. */
+  start(): void {
+    this.cluster.start();
+    this.timers = [
+      setInterval(() => this.agents.supervise(), SUPERVISION_MS),
+      setInterval(() => this.jobs.expire(), 1_000),
+      setInterval(() => this.pushConfiguration(), 1_000),
+      setInterval(() => this.report(), 5_000),
+    ];
+  }
+
+  /** Ends at once, as a crash would. */
+  halt(): void {
+    this.isDraining = true;
+    this.timers.forEach((timer) => clearInterval(timer));
+    this.cluster.halt();
+    this.ownership.halt();
+    this.dispatcher.halt();
+    this.jobs.release(this.ownership.owned);
+    this.agents.list().forEach(({ link }) => link.close());
+  }
+
+  /**
+   * Stops gracefully: hands the jobs over, waits for the callers' answers, then leaves.
+   *
+   * @param timeoutMs - longest time to wait, in milliseconds
+   */
+  async stop(timeoutMs: number): Promise<void> {
+    const until = performance.now() + timeoutMs;
+    this.isDraining = true;
+    const peers = this.cluster.others().map(({ name }) => name);
+    const hasLeft = peers.length > 0 && (await this.cluster.leave());
+    if (hasLeft) await this.handover.ended;
+    if (hasLeft) this.agents.list().forEach(({ link }) => link.close());
+    const isBusy = () => this.openCalls > 0 || (!hasLeft && this.jobs.openCount > 0);
+    while (isBusy() && performance.now() < until) {
+      await sleep(STOP_POLL_MS);
+    }
+    if (!hasLeft && !this.cluster.news().unsettled) {
+      const from = this.member.name;
+      await Promise.allSettled(
+        peers.map((peer) => this.cluster.call(peer, 'farewell', { from }, FAREWELL_TIMEOUT_MS)),
+      );
+    }
+    this.halt();
+  }
+
+  /**
+   * Serves another process on a link that it opened.
+   *
+   * @param link - the link
+   */
+  accept(link: Link): void {
+    this.agents.serve(link);
+    link.serve(this.handlers);
+  }
+
+  /**
+   * Runs or joins a job.
+   *
+   * @param submission - checked submission
+   * @param isFirst - true when the caller vouches that the key was never sent before
+   * @returns the answer
+   */
+  async submit(submission: Submission, isFirst: boolean): Promise<Answer> {
+    this.openCalls += 1;
+    try {
+      if (this.isDraining && !this.cluster.isMember && this.cluster.others().length === 0) {
+        const refusal = failure('draining', 'notRun', 'this entry is stopping');
+        return { type: 'failed', failure: refusal };
+      }
+      return await this.gateway.submit(submission, isFirst);
+    } finally {
+      this.openCalls -= 1;
+    }
+  }
+
+  /**
+   * Runs a single request under a key of this entry's own, which is provably new.
+   *
+   * @param request - checked request
+   * @returns the answer
+   */
+  request(request: SingleRequest): Promise<Answer> {
+    const { team, service, method, payload, idempotent, urgent, deadlineMs } = request;
+    return this.submit(
+      {
+        key: this.issueKey(team),
+        team,
+        kind: `${service}.${method}`,
+        tasks: [{ payload }],
+        urgent,
+        deadlineMs,
+        notAfter: Date.now() + Math.min(deadlineMs, MAX_NOT_AFTER_MS),
+        idempotent,
+      },
+      true,
+    );
+  }
+
+  /**
+   * Looks a job up, wherever it is owned.
+   *
+   * @param id - identifier of the job
+   * @returns what is known
+   */
+  async find(id: string): Promise<JobView> {
+    const owner = this.ownerOf(shardOf(id));
+    if (owner === this.member.name) return this.findHere(id);
+    try {
+      return await this.cluster.call(owner, 'find', { id });
+    } catch {
+      return { type: 'unreachable', owner };
+    }
+  }
+
+  /**
+   * Cancels a job, wherever it is owned.
+   *
+   * @param id - identifier of the job
+   * @returns true when it was found
+   */
+  async cancel(id: string): Promise<boolean> {
+    const owner = this.ownerOf(shardOf(id));
+    if (owner === this.member.name) return this.jobs.cancel(id);
+    const { found } = await this.cluster.call(owner, 'cancelJob', { id });
+    return found;
+  }
+
+  /** A summary for operators. */
+  status(): Result<'status'> {
+    const now = performance.now();
+    return {
+      entry: this.member.name,
+      dataCenter: this.member.dataCenter,
+      version: this.environment.version,
+      mapRevision: this.cluster.mapRevision,
+      newsAgeMs: Math.round(Math.min(1e9, this.cluster.age())),
+      shards: this.ownership.owned.length,
+      jobs: this.jobs.size,
+      openJobs: this.jobs.openCount,
+      queuedTasks: this.dispatcher.queue.length,
+      runningTasks: this.dispatcher.running,
+      idleCredits: this.agents.pool.size,
+      agents: this.agents.list().length,
+      suspectedAgents: this.agents.list().filter((agent) => agent.isSuspected).length,
+      ejectedAgents: this.agents.list().filter((agent) => agent.ejectedUntil > now).length,
+      unreachablePeers: this.cluster.unreachable(),
+      openCalls: this.openCalls,
+    };
+  }
+
+  /**
+   * Collects the time lines of all processes.
+   *
+   * @param sinceMs - greatest age of the events, in milliseconds
+   * @param job - only events of this job
+   * @returns the events in order
+   */
+  async timeline(sinceMs: number, job?: string): Promise<MergedTimeline> {
+    const missing: string[] = [];
+    const query = { sinceMs, job };
+    const ask = async (
+      name: string,
+      call: () => Promise<Result<'events'>>,
+    ): Promise<TimelineEvent[]> => {
+      try {
+        return (await call()).events;
+      } catch {
+        missing.push(name);
+        return [];
+      }
+    };
+    const lists = await Promise.all([
+      ...this.cluster
+        .others()
+        .map(({ name }) => ask(name, () => this.cluster.call(name, 'events', query))),
+      ...this.agents
+        .list()
+        .map(({ name, link }) => ask(name, () => link.call('events', query, CALL_TIMEOUT_MS))),
+    ]);
+    const events = [...this.parts.timeline.select(sinceMs, job), ...lists.flat()];
+    return { events: events.sort((a, b) => compareTimes(a.time, b.time)), missing };
+  }
+
+  private get handlers(): Handlers {
+    return {
+      news: () => this.cluster.news(),
+      catchUp: () => ({
+        release: this.environment.release,
+        map: this.cluster.map,
+        mapRevision: this.cluster.mapRevision,
+      }),
+      submit: ({ submission, deadlineLeftMs, isFirst }) =>
+        this.submitHere(submission, deadlineLeftMs, isFirst),
+      find: ({ id }) => this.findHere(id),
+      cancelJob: ({ id }) => ({
+        found: this.jobs.cancel(id),
+        owner: this.ownerOf(shardOf(id)) === this.member.name,
+      }),
+      adopt: (params) => this.handover.take(params),
+      credits: (params) => this.giveCredits(params),
+      confirm: () => this.confirm(),
+      farewell: ({ from }) => {
+        this.cluster.noteFarewell(from);
+        return {};
+      },
+      events: ({ sinceMs, job }) => ({ events: this.parts.timeline.select(sinceMs, job) }),
+      status: () => this.status(),
+    };
+  }
+
+  private createDispatcher(): Dispatcher {
+    return Dispatcher.create({
+      agents: this.agents,
+      shares: () => ({
+        teams: this.environment.release?.environment.teams ?? {},
+        normalShare: this.environment.policy.normalShare,
+        entries: this.cluster.map.members.length,
+      }),
+      place: this.parts.place,
+      newsAgeMs: () => this.cluster.age(),
+      version: () => this.environment.version,
+      epochOf: (shard) => this.ownership.epochOf(shard),
+      conclude: (job) => this.jobs.conclude(job),
+      fail: (job, reason) => this.jobs.fail(job, reason),
+      requestCredits: (want, pressure) => this.requestCredits(want, pressure),
+      deposed: (shard) => {
+        this.releaseShards([shard]);
+        void this.cluster.poll();
+      },
+      log: this.parts.log,
+      metrics: this.parts.metrics,
+    });
+  }
+
+  private createGateway(): Gateway {
+    return Gateway.create({
+      name: this.member.name,
+      ownerOf: (shard) => this.ownerOf(shard),
+      submitHere: (submission, leftMs, isFirst) => this.jobs.submit(submission, leftMs, isFirst),
+      submitTo: (owner, submission, deadlineLeftMs, isFirst) =>
+        this.cluster.call(
+          owner,
+          'submit',
+          { submission, deadlineLeftMs, isFirst },
+          deadlineLeftMs + CALL_TIMEOUT_MS,
+        ),
+      refresh: () => this.cluster.poll(),
+    });
+  }
+
+  private createHandover(): Handover {
+    return Handover.create({
+      name: this.member.name,
+      ownerOf: (shard) => this.ownerOf(shard),
+      epochOf: (shard) => this.cluster.map.shards[shard]?.epoch ?? 0,
+      sendAdopt: (owner, params) => this.cluster.call(owner, 'adopt', params),
+      isOwned: (shard) => this.ownership.stateOf(shard).type !== 'notOwned',
+      refresh: () => this.cluster.poll(),
+      adoptJob: (state) => this.adoptJob(state),
+      vouch: (claims) => this.ownership.vouch(claims),
+      log: this.parts.log,
+      timeline: this.parts.timeline,
+    });
+  }
+
+  private ownerOf(shard: number): string {
+    return this.cluster.map.shards[shard]?.owner ?? '';
+  }
+
+  private issueKey(team: string): string {
+    const owned = new Set(this.ownership.owned);
+    let key = '';
+    do {
+      key = `request-${randomBytes(9).toString('base64url')}`;
+    } while (owned.size > 0 && !owned.has(shardOf(jobId(team, key))));
+    return key;
+  }
+
+  private async submitHere(
+    submission: Submission,
+    deadlineLeftMs: number,
+    isFirst: boolean,
+  ): Promise<Result<'submit'>> {
+    const reply = await this.jobs.submit(submission, deadlineLeftMs, isFirst);
+    return match(reply)
+      .returnType<Result<'submit'>>()
+      .with({ type: 'answer' }, (answer) => answer)
+      .with({ type: 'notOwner' }, () => ({
+        type: 'notOwner',
+        mapRevision: this.cluster.mapRevision,
+      }))
+      .exhaustive();
+  }
+
+  private findHere(id: string): Result<'find'> {
+    const { mapRevision } = this.cluster;
+    if (this.ownership.stateOf(shardOf(id)).type === 'notOwned') {
+      return { type: 'notOwner', mapRevision };
+    }
+    const job = this.jobs.find(id);
+    if (!job) return { type: 'unknown' };
+    if (job.answer) return { type: 'answer', answer: job.answer };
+    return { type: 'running', done: job.finished, count: job.tasks.length };
+  }
+
+  private async catchUp(peer: string): Promise<void> {
+    const { release, map, mapRevision } = await this.cluster.call(peer, 'catchUp', {
+      from: this.member.name,
+    });
+    if (release) this.environment.take(release);
+    this.cluster.takeMap(map, mapRevision);
+  }
+
+  private async confirm(): Promise<Result<'confirm'>> {
+    await this.cluster.poll();
+    return { version: this.environment.version };
+  }
+
+  /** Sends the configuration to the agents for which this entry is responsible. */
+  private pushConfiguration(): void {
+    const { version } = this.environment;
+    const stale = this.agents.list().filter((agent) => agent.version < version);
+    stale
+      .filter((agent) => this.isHomeOf(agent))
+      .forEach((agent) => void this.agents.configure(agent));
+  }
+
+  private isHomeOf(agent: ConnectedAgent): boolean {
+    const { members } = this.cluster.map;
+    const home = members[shardOf(agent.name) % Math.max(1, members.length)];
+    return (
+      !home || home.name === this.member.name || this.cluster.unreachable().includes(home.name)
+    );
+  }
+
+  private changeOwnership(gained: ShardClaim[], lost: number[]): void {
+    const released = this.releaseShards(lost);
+    this.ownership.gain(gained);
+    if (lost.length > 0) this.handover.give(lost, released);
+    this.dispatcher.schedule();
+  }
+
+  private releaseShards(shards: readonly number[]): Job[] {
+    this.ownership.lose(shards);
+    const released = this.jobs.release(shards);
+    released.forEach((job) => this.dispatcher.queue.remove(job));
+    return released;
+  }
+
+  private adoptJob(state: JobState): void {
+    const job = this.jobs.adopt(state);
+    if (!job) return;
+    const waiting = [...job.tasks.keys()].filter((index) => job.tasks[index]?.type === 'waiting');
+    this.dispatcher.queue.remove(job);
+    this.dispatcher.enqueue(job, waiting);
+    job.sent.forEach(({ index, agent, incarnation }) => {
+      const connected = this.agents.find(agent, incarnation);
+      if (connected) void this.dispatcher.resolve(job, index, connected);
+    });
+  }
+
+  /** Asks an agent that has connected about the starts it has not answered. */
+  private resumeTasks(agent: ConnectedAgent): void {
+    this.jobs.listOpen().forEach((job) => {
+      job.sent
+        .filter((task) => task.agent === agent.name)
+        .forEach(({ index, incarnation }) => {
+          if (incarnation === agent.incarnation) {
+            void this.dispatcher.resolve(job, index, agent);
+          } else {
+            this.dispatcher.lose(job, index, `agent ${agent.name} was restarted`);
+          }
+        });
+    });
+  }
+
+  private async requestCredits(want: number, pressure: number): Promise<number> {
+    const peers = this.cluster.others();
+    if (peers.length === 0) return 0;
+    this.creditTurn = (this.creditTurn + 1) % peers.length;
+    const peer = peers[this.creditTurn]?.name ?? '';
+    try {
+      const params = { from: this.member.name, want: Math.min(want, 512), pressure };
+      const { credits } = await this.cluster.call(peer, 'credits', params);
+      const usable = credits.filter(({ agent, incarnation }) =>
+        this.agents.find(agent, incarnation),
+      );
+      usable.forEach(({ agent, credit }) => this.agents.pool.add(agent, [credit]));
+      return usable.length;
+    } catch {
+      return 0;
+    }
+  }
+
+  private giveCredits({ want }: Params<'credits'>): Result<'credits'> {
+    const { pool } = this.agents;
+    const spare = this.dispatcher.queue.length > 0 ? 0 : Math.ceil(pool.size / 2);
+    const credits = pool.takeMany(Math.min(want, spare)).map(({ agent, credit }) => ({
+      agent,
+      incarnation: this.agents.find(agent)?.incarnation ?? '',
+      credit,
+    }));
+    return { credits };
+  }
+
+  private report(): void {
+    const { metrics } = this.parts;
+    metrics.gauge('jobs.open', this.jobs.openCount);
+    metrics.gauge('tasks.queued', this.dispatcher.queue.length);
+    metrics.gauge('tasks.running', this.dispatcher.running);
+    metrics.gauge('credits.idle', this.agents.pool.size);
+    metrics.gauge('agents.connected', this.agents.list().length);
+    metrics.gauge('news.ageMs', Math.min(1e9, this.cluster.age()));
+  }
+}
--- /dev/null
+++ b/packages/entry/src/JobController.ts
@@ -0,0 +1,320 @@
+import { match } from 'ts-pattern';
+import {
+  CLOCK_SKEW_MS,
+  MAX_NOT_AFTER_MS,
+  RECORD_RETENTION_MS,
+  failure,
+  jobId,
+  submissionDigest,
+} from '@marjorammast/protocol';
+import type {
+  Environment,
+  Failure,
+  JobState,
+  StartRecord,
+  Submission,
+} from '@marjorammast/protocol';
+import type { Log, Metrics, Timeline } from '@marjorammast/telemetry';
+import { RETRY_AFTER_MS } from './constants';
+import { Job } from './Job';
+import type { Reply } from './Job';
+
+/** What an owner knows about a shard. */
+export type ShardState =
+  | { type: 'notOwned' }
+  /** The started-records are being collected. */
+  | { type: 'recovering'; ready: Promise<void> }
+  /** Unknown keys may have run until the wall-clock time `ambiguousUntil`. */
+  | { type: 'ready'; epoch: number; ambiguousUntil: number };
+
+/** What the job controller needs of the entry. */
+export type JobHost = {
+  environment: () => Environment | undefined;
+  shard: (shard: number) => ShardState;
+  /** Tasks are to be started. */
+  enqueue: (job: Job, indexes: number[]) => void;
+  /** The job is answered: waiting tasks are dropped and running ones cancelled. */
+  answered: (job: Job) => void;
+  queuedTasks: () => number;
+  log: Log;
+  metrics: Metrics;
+  timeline: Timeline;
+};
+
+const failed = (reason: Failure): Reply => ({
+  type: 'answer',
+  answer: { type: 'failed', failure: reason },
+});
+
+/** The jobs that this entry owns, from admission to answer. */
+export class JobController {
+  private readonly jobs = new Map<string, Job>();
+
+  private readonly deadlines = new Map<Job, NodeJS.Timeout>();
+
+  private open = 0;
+
+  private constructor(private readonly host: JobHost) {}
+
+  /**
+   * @param host - what the controller needs of the entry
+   * @returns a controller without jobs
+   */
+  static create(host: JobHost): JobController {
+    return new JobController(host);
+  }
+
+  /** Number of jobs kept, answered ones included. */
+  get size(): number {
+    return this.jobs.size;
+  }
+
+  /** Number of jobs without an answer. */
+  get openCount(): number {
+    return this.open;
+  }
+
+  /** A job by its identifier. */
+  find(id: string): Job | undefined {
+    return this.jobs.get(id);
+  }
+
+  /** Jobs without an answer. */
+  listOpen(): Job[] {
+    return [...this.jobs.values()].filter((job) => !job.answer);
+  }
+
+  /**
+   * Runs a job, or joins the one with the same key.
+   *
+   * @param submission - checked submission
+   * @param deadlineLeftMs - time left for the whole job, in milliseconds
+   * @param isFirst - true when the caller vouches that the key was never sent before
+   * @returns the answer, or `notOwner` when another entry must be asked
+   */
+  async submit(submission: Submission, deadlineLeftMs: number, isFirst: boolean): Promise<Reply> {
+    const id = jobId(submission.team, submission.key);
+    const known = this.jobs.get(id);
+    if (known) return this.join(known, submission, deadlineLeftMs);
+    const draft = Job.create(submission, deadlineLeftMs);
+    const state = this.host.shard(draft.shard);
+    if (state.type === 'notOwned') return { type: 'notOwner' };
+    if (state.type === 'recovering') {
+      await state.ready;
+      const leftMs = draft.deadlineAt - performance.now();
+      return this.submit(submission, leftMs, isFirst);
+    }
+    const refusal = this.refusalOf(submission, isFirst ? 0 : state.ambiguousUntil);
+    if (refusal) {
+      this.host.metrics.count('jobs.refused', 1, { code: refusal.code });
+      return failed(refusal);
+    }
+    this.admit(draft);
+    this.host.enqueue(draft, [...draft.tasks.keys()]);
+    return draft.wait();
+  }
+
+  /**
+   * Cancels a job.
+   *
+   * @param id - identifier of the job
+   * @returns true when the job is known here
+   */
+  cancel(id: string): boolean {
+    const job = this.jobs.get(id);
+    if (job && !job.answer) {
+      this.fail(job, failure('cancelled', job.verdict, 'cancelled by the caller'));
+    }
+    return job !== undefined;
+  }
+
+  /** Fails a job unless it is answered. */
+  fail(job: Job, reason: Failure): void {
+    if (!job.answer) this.answer(job, { type: 'failed', failure: reason });
+  }
+
+  /** Answers a job if its tasks allow it. */
+  conclude(job: Job): void {
+    if (job.answer) return;
+    const conclusion = job.conclusion();
+    if (conclusion) this.answer(job, conclusion);
+  }
+
+  /**
+   * Takes a started-record from an agent during a takeover.
+   *
+   * @param record - the record
+   * @param agent - agent that holds it
+   * @param incarnation - its process
+   * @returns the job when the task still runs there
+   */
+  takeRecord(record: StartRecord, agent: string, incarnation: string): Job | undefined {
+    const job = this.jobs.get(record.job) ?? this.keep(Job.fromRecord(record));
+    const task = job.tasks[record.index];
+    if (!task || task.type === 'finished') return undefined;
+    job.tasks[record.index] = record.outcome
+      ? { type: 'finished', outcome: record.outcome }
+      : { type: 'sent', agent, incarnation };
+    this.conclude(job);
+    return record.outcome || job.answer ? undefined : job;
+  }
+
+  /**
+   * Takes a job from its previous owner.
+   *
+   * @param state - state as exported there
+   * @returns the job when it is not answered
+   */
+  adopt(state: JobState): Job | undefined {
+    const id = jobId(state.submission.team, state.submission.key);
+    const known = this.jobs.get(id);
+    const job = known ?? this.keep(Job.create(state.submission, state.deadlineLeftMs));
+    job.submission ??= state.submission;
+    state.tasks.forEach(({ index, agent, incarnation = '', outcome }) => {
+      const task = job.tasks[index];
+      if (!task || task.type === 'finished') return;
+      if (outcome) job.tasks[index] = { type: 'finished', outcome };
+      else if (agent) job.tasks[index] = { type: 'sent', agent, incarnation };
+    });
+    if (state.answer && !job.answer) this.answer(job, state.answer);
+    this.conclude(job);
+    return job.answer ? undefined : job;
+  }
+
+  /**
+   * Gives up the jobs of some shards.
+   *
+   * @param shards - shards that another entry owns now
+   * @returns the jobs, for handing over
+   */
+  release(shards: readonly number[]): Job[] {
+    const lost = new Set(shards);
+    const released = [...this.jobs.values()].filter((job) => lost.has(job.shard));
+    released.forEach((job) => {
+      job.isReleased = true;
+      this.jobs.delete(job.id);
+      this.clearDeadline(job);
+      if (!job.answer) this.open -= 1;
+      job.release({ type: 'notOwner' });
+    });
+    return released;
+  }
+
+  /** Forgets answered jobs whose retention has passed. */
+  expire(): void {
+    const now = Date.now();
+    this.jobs.forEach((job, id) => {
+      if (job.answer && job.keepUntil < now) this.jobs.delete(id);
+    });
+  }
+
+  private join(job: Job, submission: Submission, deadlineLeftMs: number): Promise<Reply> {
+    if (job.digest !== submissionDigest(submission)) {
+      const detail = `key ${submission.key} was used for another content`;
+      return Promise.resolve(failed(failure('conflict', 'notRun', detail)));
+    }
+    if (!job.submission && !job.answer) this.revive(job, submission, deadlineLeftMs);
+    return job.wait();
+  }
+
+  /** Goes on with a job whose content was lost with its owner. */
+  private revive(job: Job, submission: Submission, deadlineLeftMs: number): void {
+    job.submission = submission;
+    job.deadlineAt = performance.now() + deadlineLeftMs;
+    this.setDeadline(job);
+    const waiting = [...job.tasks.keys()].filter((index) => job.tasks[index]?.type === 'waiting');
+    const state = this.host.shard(job.shard);
+    const isAmbiguous = state.type === 'ready' && Date.now() < state.ambiguousUntil;
+    if (waiting.length > 0 && isAmbiguous) {
+      const detail = 'an agent that may have started tasks of this job cannot be asked';
+      this.fail(job, failure('ownerLost', 'mayHaveRun', detail));
+      return;
+    }
+    this.host.enqueue(job, waiting);
+  }
+
+  private refusalOf(submission: Submission, ambiguousUntil: number): Failure | undefined {
+    const environment = this.host.environment();
+    const now = Date.now();
+    if (now > submission.notAfter) {
+      return failure('expired', 'mayHaveRun', 'notAfter has passed and the key is unknown');
+    }
+    if (submission.notAfter > now + MAX_NOT_AFTER_MS + CLOCK_SKEW_MS) {
+      const detail = `notAfter may lie at most ${MAX_NOT_AFTER_MS} ms ahead`;
+      return failure('invalid', 'notRun', detail);
+    }
+    if (now < ambiguousUntil) {
+      const detail = 'the earlier owner of this key was lost and not every agent can be asked';
+      return failure('ownerLost', 'mayHaveRun', detail, { retryAfterMs: RETRY_AFTER_MS });
+    }
+    if (!environment) {
+      const detail = 'no environment has been applied';
+      return failure('unavailable', 'notRun', detail, { retryAfterMs: RETRY_AFTER_MS });
+    }
+    if (!environment.teams[submission.team]) {
+      return failure('invalid', 'notRun', `team ${submission.team} is not in the environment`);
+    }
+    if (!environment.kinds[submission.kind]) {
+      return failure('invalid', 'notRun', `kind ${submission.kind} is not in the environment`);
+    }
+    const { maxJobs, maxQueuedTasks } = environment.policy;
+    const isFull =
+      this.open >= maxJobs || this.host.queuedTasks() + submission.tasks.length > maxQueuedTasks;
+    if (!isFull) return undefined;
+    const detail = 'too much work is waiting';
+    return failure('overloaded', 'notRun', detail, { retryAfterMs: RETRY_AFTER_MS });
+  }
+
+  private admit(job: Job): void {
+    this.keep(job);
+    this.host.metrics.count('jobs.admitted');
+    this.host.timeline.record('jobAdmitted', { job: job.id, tasks: job.tasks.length });
+  }
+
+  private keep(job: Job): Job {
+    this.jobs.set(job.id, job);
+    this.open += 1;
+    this.setDeadline(job);
+    return job;
+  }
+
+  private setDeadline(job: Job): void {
+    this.clearDeadline(job);
+    const leftMs = Math.max(0, job.deadlineAt - performance.now());
+    this.deadlines.set(
+      job,
+      setTimeout(() => this.expireDeadline(job), leftMs),
+    );
+  }
+
+  private clearDeadline(job: Job): void {
+    clearTimeout(this.deadlines.get(job));
+    this.deadlines.delete(job);
+  }
+
+  private expireDeadline(job: Job): void {
+    const code = job.submission ? 'deadlineExceeded' : 'ownerLost';
+    const detail = job.submission
+      ? `${job.finished} of ${job.tasks.length} tasks had ended at the deadline`
+      : 'the content of the job was lost with its owner and was not submitted again';
+    this.fail(job, failure(code, job.verdict, detail));
+  }
+
+  private answer(job: Job, answer: NonNullable<Job['answer']>): void {
+    this.open -= 1;
+    this.clearDeadline(job);
+    const keepUntil = Math.max(job.notAfter, Date.now()) + RECORD_RETENTION_MS - MAX_NOT_AFTER_MS;
+    job.settle(answer, keepUntil);
+    this.host.answered(job);
+    const outcome = match(answer)
+      .with({ type: 'complete' }, () => 'complete')
+      .with({ type: 'failed' }, ({ failure: { code } }) => code)
+      .exhaustive();
+    this.host.metrics.count('jobs.answered', 1, { outcome });
+    this.host.timeline.record('jobAnswered', { job: job.id, outcome });
+    if (answer.type === 'failed') {
+      const { verdict, detail } = answer.failure;
+      this.host.log.info({ job: job.id, code: outcome, verdict, detail }, 'job_failed');
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/http/index.ts
@@ -0,0 +1,27 @@
+import { Hono } from 'hono';
+import type { Entry } from '../Entry';
+import { createCallerRoutes } from './callerRoutes';
+import { catchErrors, limitBody, limitCalls, observe } from './filters';
+import { createOperatorRoutes } from './operatorRoutes';
+
+/**
+ * Creates the entry's HTTP interface: the filters in order, then the routes.
+ *
+ * @param entry - the entry
+ * @returns the application
+ */
+export const createEntryHttp = (entry: Entry): Hono => {
+  const { log, metrics } = entry.parts;
+  const app = new Hono();
+  app.onError(catchErrors(log));
+  app.use(observe(metrics));
+  app.use(limitBody());
+  app.use(limitCalls(() => entry.openCalls));
+  app.route('/v1', createCallerRoutes(entry));
+  app.route('/v1', createOperatorRoutes(entry));
+  app.get('/health/live', (context) => context.json({ live: true }));
+  app.get('/health/ready', (context) =>
+    context.json({ ready: entry.isReady }, entry.isReady ? 200 : 503),
+  );
+  return app;
+};
--- /dev/null
+++ b/packages/entry/src/http/problem.ts
@@ -0,0 +1,55 @@
+import type { Context } from 'hono';
+import { match } from 'ts-pattern';
+import type { Answer, Failure } from '@marjorammast/protocol';
+
+/** HTTP status of a failure. */
+export const statusOf = (
+  code: Failure['code'],
+): 400 | 409 | 410 | 429 | 499 | 500 | 502 | 503 | 504 =>
+  match(code)
+    .returnType<400 | 409 | 410 | 429 | 499 | 500 | 502 | 503 | 504>()
+    .with('invalid', () => 400)
+    .with('conflict', () => 409)
+    .with('expired', () => 410)
+    .with('quotaExceeded', () => 429)
+    .with('cancelled', () => 499)
+    .with('taskFailed', 'agentLost', 'ownerLost', () => 502)
+    .with('overloaded', 'unavailable', 'unplaceable', 'stale', 'draining', () => 503)
+    .with('deadlineExceeded', () => 504)
+    .with('internal', () => 500)
+    .exhaustive();
+
+const MS_PER_S = 1_000;
+
+/**
+ * Answers with problem details (RFC 9457) that carry the verdict.
+ *
+ * @param context - the request
+ * @param reason - the failure
+ * @param status - HTTP status, when it differs from the one of the failure's code
+ * @returns the response
+ */
+export const problem = (
+  context: Context,
+  reason: Failure,
+  status: number = statusOf(reason.code),
+): Response => {
+  const headers: Record<string, string> = { 'content-type': 'application/problem+json' };
+  if (reason.retryAfterMs)
+    headers['retry-after'] = String(Math.ceil(reason.retryAfterMs / MS_PER_S));
+  const body = { type: `urn:marjorammast:${reason.code}`, title: reason.code, status, ...reason };
+  return context.body(JSON.stringify(body), status as 400, headers);
+};
+
+/**
+ * Answers with the answer to a job.
+ *
+ * @param context - the request
+ * @param answer - the answer
+ * @returns the response
+ */
+export const respond = (context: Context, answer: Answer): Response =>
+  match(answer)
+    .with({ type: 'complete' }, ({ results }) => context.json({ status: 'complete', results }, 200))
+    .with({ type: 'failed' }, ({ failure: reason }) => problem(context, reason))
+    .exhaustive();
--- /dev/null
+++ b/packages/protocol/src/tcp.ts
@@ -0,0 +1,93 @@
+import { connect, createServer } from 'node:net';
+import type { Server, Socket } from 'node:net';
+import split2 from 'split2';
+import { CALL_TIMEOUT_MS, MAX_MESSAGE_BYTES } from './constants';
+import { CallError, Link } from './Link';
+import type { Handlers } from './messages';
+
+/** Bytes that may wait in one socket before the other process counts as stuck. */
+const MAX_BUFFERED_BYTES = 4 * MAX_MESSAGE_BYTES;
+
+/** Idle time after which the kernel probes a connection, in milliseconds. */
+const KEEP_ALIVE_MS = 15_000;
+
+/** Counts bytes on the sockets between processes. */
+export type Traffic = { sentBytes: number; receivedBytes: number; messages: number };
+
+const parseAddress = (address: string): { host: string; port: number } => {
+  const colon = address.lastIndexOf(':');
+  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+};
+
+const createLink = (name: string, socket: Socket, handlers: Handlers, traffic: Traffic): Link => {
+  const link = Link.create(
+    name,
+    {
+      write: (message) => {
+        if (socket.destroyed || socket.writableLength > MAX_BUFFERED_BYTES) {
+          throw CallError.create('notSent', `connection to ${name} is closed or full`);
+        }
+        const line = `${JSON.stringify(message)}\n`;
+        traffic.sentBytes += Buffer.byteLength(line);
+        traffic.messages += 1;
+        socket.write(line);
+      },
+      close: () => socket.destroy(),
+    },
+    handlers,
+  );
+  socket.setNoDelay(true);
+  socket.setKeepAlive(true, KEEP_ALIVE_MS);
+  socket.on('data', (chunk: Buffer) => {
+    traffic.receivedBytes += chunk.length;
+  });
+  const lines = socket.pipe(split2(JSON.parse, { maxLength: MAX_MESSAGE_BYTES }));
+  lines.on('data', (message) => link.receive(message));
+  lines.on('error', () => link.close());
+  socket.on('error', () => link.close());
+  socket.on('close', () => link.close());
+  return link;
+};
+
+/**
+ * Opens a link to another process.
+ *
+ * @param address - host and port
+ * @param handlers - answer the other process's calls
+ * @param traffic - counters to add to
+ * @returns the open link
+ * @throws the socket's error, for example ECONNREFUSED
+ */
+export const dial = (address: string, handlers: Handlers, traffic: Traffic): Promise<Link> =>
+  new Promise((resolve, reject) => {
+    const socket = connect({ ...parseAddress(address), timeout: CALL_TIMEOUT_MS });
+    socket.once('error', reject);
+    socket.once('timeout', () => socket.destroy(new Error(`connection to ${address} timed out`)));
+    socket.once('connect', () => {
+      socket.removeListener('error', reject);
+      socket.setTimeout(0);
+      resolve(createLink(address, socket, handlers, traffic));
+    });
+  });
+
+/**
+ * Accepts links from other processes.
+ *
+ * @param address - host and port to listen on
+ * @param accept - called with each new link
+ * @param traffic - counters to add to
+ * @returns the listening server
+ */
+export const listen = (
+  address: string,
+  accept: (link: Link) => void,
+  traffic: Traffic,
+): Promise<Server> =>
+  new Promise((resolve, reject) => {
+    const server = createServer((socket) => {
+      const name = `${socket.remoteAddress}:${socket.remotePort}`;
+      accept(createLink(name, socket, {}, traffic));
+    });
+    server.once('error', reject);
+    server.listen(parseAddress(address), () => resolve(server));
+  });
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,2 @@
+export * from './daemonSettings';
+export * from './readDocument';
--- /dev/null
+++ b/packages/standins/src/StoreStandIn.ts
@@ -0,0 +1,193 @@
+import { Hono } from 'hono';
+import { stream } from 'hono/streaming';
+import { z } from 'zod';
+
+/** Faults that can be switched on. */
+export const faultsSchema = z.strictObject({
+  /** Every call fails and watches end. */
+  isDown: z.boolean().default(false),
+  /** Delay of every call, in milliseconds. */
+  delayMs: z.number().nonnegative().default(0),
+  /** Share of the writes that take effect without an answer. */
+  lostReplies: z.number().min(0).max(1).default(0),
+  /** Watches stay open and tell nothing. */
+  isWatchSilent: z.boolean().default(false),
+  maxReadsPerS: z.number().positive().default(2_000),
+  maxWritesPerS: z.number().positive().default(500),
+});
+
+/** Inferred from {@link faultsSchema}. */
+export type Faults = z.infer<typeof faultsSchema>;
+
+const rangeBody = z.object({
+  key: z.string(),
+  range_end: z.string().optional(),
+  min_mod_revision: z.coerce.number().default(0),
+});
+
+const txnBody = z.object({
+  compare: z.array(z.object({ key: z.string(), mod_revision: z.coerce.number() })),
+  success: z.array(
+    z.object({
+      request_put: z.object({ key: z.string(), value: z.string() }).optional(),
+      request_delete_range: z.object({ key: z.string() }).optional(),
+    }),
+  ),
+});
+
+const watchBody = z.object({
+  create_request: z.object({ key: z.string(), range_end: z.string().optional() }),
+});
+
+/** Largest value the store takes, in bytes. */
+const MAX_VALUE_BYTES = 1024 * 1024;
+
+const RATE_WINDOW_MS = 1_000;
+
+type Stored = { value: string; revision: number };
+type Counts = { reads: number; writes: number };
+
+const sleep = (ms: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
+const decode = (text: string): string => Buffer.from(text, 'base64').toString('latin1');
+
+/** In-memory stand-in of the platform's store, without its durability. */
+export class StoreStandIn {
+  faults: Faults = faultsSchema.parse({});
+
+  readonly total: Counts = { reads: 0, writes: 0 };
+
+  private readonly values = new Map<string, Stored>();
+
+  private readonly watchers = new Set<(key: string) => void>();
+
+  private revision = 1;
+
+  private window: Counts = { reads: 0, writes: 0 };
+
+  private windowStart = 0;
+
+  private constructor(private readonly random: () => number) {}
+
+  /**
+   * @param random - uniform random numbers below 1, for lost replies
+   * @returns an empty store
+   */
+  static create(random: () => number = Math.random): StoreStandIn {
+    return new StoreStandIn(random);
+  }
+
+  /** Reads a range; `end` is exclusive, as in the protocol. */
+  range(key: string, end: string | undefined, minRevision: number): unknown {
+    const kvs = [...this.values]
+      .filter(([name]) => (end === undefined ? name === key : name >= key && name < end))
+      .filter(([, { revision }]) => revision >= minRevision)
+      .map(([name, { value, revision }]) => ({
+        key: Buffer.from(name, 'latin1').toString('base64'),
+        value,
+        mod_revision: String(revision),
+      }));
+    return { header: { revision: String(this.revision) }, kvs, count: String(kvs.length) };
+  }
+
+  /** Runs a transaction that compares revisions and then puts or deletes. */
+  transact(body: z.infer<typeof txnBody>): unknown {
+    const succeeded = body.compare.every(
+      ({ key, mod_revision: expected }) =>
+        (this.values.get(decode(key))?.revision ?? 0) === expected,
+    );
+    if (succeeded) {
+      this.revision += 1;
+      body.success.forEach(({ request_put: put, request_delete_range: removal }) => {
+        if (put) this.values.set(decode(put.key), { value: put.value, revision: this.revision });
+        if (removal) this.values.delete(decode(removal.key));
+        const changed = decode(put?.key ?? removal?.key ?? '');
+        if (!this.faults.isWatchSilent) this.watchers.forEach((notify) => notify(changed));
+      });
+    }
+    return { header: { revision: String(this.revision) }, succeeded };
+  }
+
+  /**
+   * Waits as the faults say and counts the call.
+   *
+   * @returns false when the call must fail
+   */
+  async admit(kind: keyof Counts): Promise<boolean> {
+    const now = Date.now();
+    if (now - this.windowStart >= RATE_WINDOW_MS) {
+      this.window = { reads: 0, writes: 0 };
+      this.windowStart = now;
+    }
+    this.total[kind] += 1;
+    this.window[kind] += 1;
+    const limit = kind === 'reads' ? this.faults.maxReadsPerS : this.faults.maxWritesPerS;
+    const waiting = kind === 'reads' ? this.watchers.size : 0;
+    if (this.faults.isDown || this.window[kind] + waiting > limit) return false;
+    if (this.faults.delayMs > 0) await sleep(this.faults.delayMs);
+    return !this.faults.isDown;
+  }
+
+  /** True when the reply to a write is to be lost. */
+  losesReply(): boolean {
+    return this.random() < this.faults.lostReplies;
+  }
+
+  /** Calls a function with each changed key; the result ends it. */
+  subscribe(notify: (key: string) => void): () => void {
+    this.watchers.add(notify);
+    return () => this.watchers.delete(notify);
+  }
+}
+
+const UNAVAILABLE = { error: 'etcdserver: unavailable', code: 14 };
+
+/**
+ * Creates the HTTP interface of a store stand-in: part of the etcd v3 JSON gateway, and `/faults`.
+ *
+ * @param store - the stand-in
+ * @returns the routes
+ */
+export const createStoreHttp = (store: StoreStandIn): Hono =>
+  new Hono()
+    .post('/v3/kv/range', async (context) => {
+      if (!(await store.admit('reads'))) return context.json(UNAVAILABLE, 503);
+      const body = rangeBody.parse(await context.req.json());
+      const end = body.range_end === undefined ? undefined : decode(body.range_end);
+      return context.json(store.range(decode(body.key), end, body.min_mod_revision) as object);
+    })
+    .post('/v3/kv/txn', async (context) => {
+      if (!(await store.admit('writes'))) return context.json(UNAVAILABLE, 503);
+      const body = txnBody.parse(await context.req.json());
+      const size = Math.max(0, ...body.success.map((op) => op.request_put?.value.length ?? 0));
+      if (size * 0.75 > MAX_VALUE_BYTES)
+        return context.json({ error: 'request is too large' }, 400);
+      const result = store.transact(body) as object;
+      return store.losesReply() ? context.json(UNAVAILABLE, 503) : context.json(result);
+    })
+    .post('/v3/watch', async (context) => {
+      if (!(await store.admit('reads'))) return context.json(UNAVAILABLE, 503);
+      const { create_request: create } = watchBody.parse(await context.req.json());
+      const from = decode(create.key);
+      const end = create.range_end === undefined ? undefined : decode(create.range_end);
+      return stream(context, async (output) => {
+        const unsubscribe = store.subscribe((key) => {
+          const isWatched = end === undefined ? key === from : key >= from && key < end;
+          if (isWatched) void output.write('{"result":{"events":[{}]}}\n');
+        });
+        await output.write('{"result":{"created":true}}\n');
+        while (!output.aborted && !store.faults.isDown) {
+          await sleep(100);
+        }
+        unsubscribe();
+      });
+    })
+    .get('/faults', (context) => context.json({ ...store.faults, ...store.total }))
+    .put('/faults', async (context) => {
+      const changed = faultsSchema.partial().parse(await context.req.json());
+      store.faults = faultsSchema.parse({ ...store.faults, ...changed });
+      return context.json(store.faults);
+    });
--- /dev/null
+++ b/packages/standins/src/index.ts
@@ -0,0 +1,2 @@
+export * from './StoreStandIn';
+export * from './TargetStandIn';
--- /dev/null
+++ b/packages/store/src/etcdStore.ts
@@ -0,0 +1,123 @@
+import { Pool } from 'undici';
+import { z } from 'zod';
+import { StoreError } from './Store';
+import type { Snapshot, Store } from './Store';
+
+/** Time allowed for one call to the store, in milliseconds. */
+const STORE_TIMEOUT_MS = 1_000;
+
+/** Pause before a broken watch is opened again, in milliseconds. */
+const WATCH_RETRY_MS = 1_000;
+
+const rangeSchema = z.object({
+  header: z.object({ revision: z.string() }),
+  kvs: z
+    .array(z.object({ key: z.string(), value: z.string().default(''), mod_revision: z.string() }))
+    .default([]),
+});
+
+const txnSchema = z.object({
+  header: z.object({ revision: z.string() }),
+  succeeded: z.boolean().default(false),
+});
+
+const encode = (text: string): string => Buffer.from(text).toString('base64');
+const decode = (text: string): string => Buffer.from(text, 'base64').toString();
+
+/** First key after all keys with the prefix, as the protocol's `range_end`. */
+const rangeEnd = (prefix: string): string => {
+  const bytes = Buffer.from(prefix);
+  bytes[bytes.length - 1] = (bytes[bytes.length - 1] ?? 0) + 1;
+  return bytes.toString('base64');
+};
+
+/**
+ * Connects to a store over the etcd v3 JSON gateway.
+ *
+ * @param url - origin of the gateway
+ * @returns the store
+ */
+export const createEtcdStore = (url: string): Store => {
+  const pool = new Pool(url, { connections: 4, connect: { timeout: STORE_TIMEOUT_MS } });
+
+  const post = async (path: string, body: unknown): Promise<unknown> => {
+    try {
+      const response = await pool.request({
+        path,
+        method: 'POST',
+        body: JSON.stringify(body),
+        headers: { 'content-type': 'application/json' },
+        headersTimeout: STORE_TIMEOUT_MS,
+        bodyTimeout: STORE_TIMEOUT_MS,
+      });
+      const text = await response.body.text();
+      if (response.statusCode !== 200) {
+        throw StoreError.create(`store answered ${response.statusCode}: ${text.slice(0, 200)}`);
+      }
+      return JSON.parse(text);
+    } catch (error) {
+      if (error instanceof StoreError) throw error;
+      throw StoreError.create(error instanceof Error ? error.message : String(error));
+    }
+  };
+
+  const read = async (prefix: string, minRevision = 0): Promise<Snapshot> => {
+    const body = {
+      key: encode(prefix),
+      range_end: rangeEnd(prefix),
+      min_mod_revision: String(minRevision),
+    };
+    const { header, kvs } = rangeSchema.parse(await post('/v3/kv/range', body));
+    const values = kvs.map((kv) => ({
+      key: decode(kv.key),
+      value: decode(kv.value),
+      revision: Number(kv.mod_revision),
+    }));
+    return { revision: Number(header.revision), values };
+  };
+
+  const compareAndSwap: Store['compareAndSwap'] = async (key, revision, value) => {
+    const operation =
+      value === undefined
+        ? { request_delete_range: { key: encode(key) } }
+        : { request_put: { key: encode(key), value: encode(value) } };
+    const body = {
+      compare: [
+        { key: encode(key), target: 'MOD', result: 'EQUAL', mod_revision: String(revision) },
+      ],
+      success: [operation],
+    };
+    const { header, succeeded } = txnSchema.parse(await post('/v3/kv/txn', body));
+    return succeeded ? Number(header.revision) : undefined;
+  };
+
+  const watch: Store['watch'] = (prefix, changed) => {
+    const abort = new AbortController();
+    const follow = async (): Promise<void> => {
+      const response = await pool.request({
+        path: '/v3/watch',
+        method: 'POST',
+        body: JSON.stringify({
+          create_request: { key: encode(prefix), range_end: rangeEnd(prefix) },
+        }),
+        headers: { 'content-type': 'application/json' },
+        bodyTimeout: 0,
+        signal: abort.signal,
+      });
+      // eslint-disable-next-line no-restricted-syntax -- a stream is read by iteration
+      for await (const chunk of response.body) {
+        if (String(chunk).includes('"events"')) changed();
+      }
+    };
+    const keepFollowing = (): void => {
+      const again = () => {
+        if (!abort.signal.aborted) setTimeout(keepFollowing, WATCH_RETRY_MS).unref();
+      };
+      follow().then(again, again);
+    };
+    keepFollowing();
+    return () => abort.abort();
+  };
+
+  return { read, compareAndSwap, watch };
+};
--- /dev/null
+++ b/packages/store/src/index.ts
@@ -0,0 +1,3 @@
+export * from './etcdStore';
+export * from './Store';
+export * from './swap';
--- /dev/null
+++ b/packages/telemetry/src/Timeline.ts
@@ -0,0 +1,93 @@
+/** Hybrid logical time (Kulkarni et al. 2014): milliseconds and a counter. */
+export type HybridTime = [number, number];
+
+/** Value of one field of an event. */
+export type FieldValue = string | number | boolean;
+
+/** One recorded event. */
+export type RecordedEvent = {
+  time: HybridTime;
+  node: string;
+  type: string;
+  fields: Record<string, FieldValue>;
+};
+
+/** Events kept by one process. */
+const DEFAULT_CAPACITY = 4_096;
+
+/**
+ * Orders two hybrid times.
+ *
+ * @param a - first time
+ * @param b - second time
+ * @returns negative when `a` is earlier, positive when it is later
+ */
+export const compareTimes = (a: HybridTime, b: HybridTime): number => a[0] - b[0] || a[1] - b[1];
+
+/** Bounded ring of the newest events of one process, in hybrid logical time. */
+export class Timeline {
+  private readonly ring: RecordedEvent[] = [];
+
+  private next = 0;
+
+  private last: HybridTime = [0, 0];
+
+  private constructor(
+    private readonly node: string,
+    private readonly capacity: number,
+  ) {}
+
+  /**
+   * @param node - name of the process
+   * @param capacity - number of events kept
+   * @returns an empty time line
+   */
+  static create(node: string, capacity: number = DEFAULT_CAPACITY): Timeline {
+    return new Timeline(node, capacity);
+  }
+
+  /**
+   * Records an event.
+   *
+   * @param type - what happened
+   * @param fields - details
+   */
+  record(type: string, fields: Record<string, FieldValue> = {}): void {
+    this.ring[this.next] = { time: this.tick(), node: this.node, type, fields };
+    this.next = (this.next + 1) % this.capacity;
+  }
+
+  /**
+   * Advances the clock past a time received from another process.
+   *
+   * @param time - the received time
+   */
+  observe(time: HybridTime): void {
+    if (compareTimes(time, this.last) > 0) this.last = [time[0], time[1]];
+  }
+
+  /** Time of the newest event. */
+  now(): HybridTime {
+    return this.tick();
+  }
+
+  /**
+   * Selects events.
+   *
+   * @param sinceMs - greatest age, in milliseconds
+   * @param job - only events of this job
+   * @returns the events in order
+   */
+  select(sinceMs: number, job?: string): RecordedEvent[] {
+    const from = Date.now() - sinceMs;
+    return this.ring
+      .filter((event) => event.time[0] >= from && (!job || event.fields['job'] === job))
+      .sort((a, b) => compareTimes(a.time, b.time));
+  }
+
+  private tick(): HybridTime {
+    const wall = Date.now();
+    this.last = wall > this.last[0] ? [wall, 0] : [this.last[0], this.last[1] + 1];
+    return this.last;
+  }
+}
--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,3 @@
+export * from './log';
+export * from './metrics';
+export * from './Timeline';
--- /dev/null
+++ b/packages/telemetry/src/log.ts
@@ -0,0 +1,27 @@
+import logfmt from 'logfmt';
+import pino from 'pino';
+import type { Logger } from 'pino';
+
+/** Writes one key=value line for each event. */
+export type Log = Logger;
+
+const toLine = (json: string): string => {
+  const { time, level, node, msg, ...fields } = JSON.parse(json) as Record<string, unknown>;
+  const label = pino.levels.labels[Number(level)];
+  const at = new Date(Number(time)).toISOString();
+  return `${logfmt.stringify({ time: at, level: label, node, event: msg, ...fields })}\n`;
+};
+
+/**
+ * Creates a log for one process.
+ *
+ * @param node - name of the process
+ * @param level - lowest level that is written
+ * @param write - takes each finished line
+ * @returns the log
+ */
+export const createLog = (
+  node: string,
+  level: string,
+  write: (line: string) => void = (line) => void process.stdout.write(line),
+): Log => pino({ level, base: { node } }, { write: (json: string) => write(toLine(json)) });
