--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -61,6 +61,10 @@
   },
   {
     files: ['**/*.test.ts', '**/tests/**/*.ts'],
-    rules: { '@typescript-eslint/no-floating-promises': 'off' },
+    rules: {
+      '@typescript-eslint/no-floating-promises': 'off',
+      // Test libraries are declared once, at the root.
+      'import-x/no-extraneous-dependencies': 'off',
+    },
   },
 ];
--- a/marjorammast-app/src/agent.ts
+++ b/marjorammast-app/src/agent.ts
@@ -1,5 +1,5 @@
 import { Agent, createAgentHttp, createHttpRunner } from '@marjorammast/agent';
-import { dial } from '@marjorammast/protocol';
+import { createId, dial } from '@marjorammast/protocol';
 import { agentSettingsSchema } from '@marjorammast/settings';
 import { Timeline, createLog, createMetrics } from '@marjorammast/telemetry';
 import { loadSettings, serveHttp, stopOnSignal } from './daemon';
@@ -15,6 +15,8 @@
     entries,
     dial: (address, handlers) => dial(address, handlers, traffic),
     runTask: createHttpRunner(),
+    createId,
+    random: Math.random,
     log,
     metrics: createMetrics(statsd, name),
     timeline: Timeline.create(name),
--- a/marjorammast-app/src/entry.ts
+++ b/marjorammast-app/src/entry.ts
@@ -1,5 +1,5 @@
 import { Entry, createEntryHttp, placeFastest } from '@marjorammast/entry';
-import { dial, listen } from '@marjorammast/protocol';
+import { createId, dial, listen } from '@marjorammast/protocol';
 import { entrySettingsSchema } from '@marjorammast/settings';
 import { createEtcdStore } from '@marjorammast/store';
 import { Timeline, createLog, createMetrics } from '@marjorammast/telemetry';
@@ -18,6 +18,7 @@
     store: createEtcdStore(settings.store),
     dial: (address, handlers) => dial(address, handlers, traffic),
     place: placeFastest,
+    createId,
     log,
     metrics: createMetrics(statsd, name),
     timeline: Timeline.create(name),
--- a/marjorammast-app/src/local/Deployment.ts
+++ b/marjorammast-app/src/local/Deployment.ts
@@ -5,6 +5,7 @@
 import type { AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { sleep } from '@marjorammast/protocol';
 import { callEntry } from '../callEntry';
 
 /** Shape of a local deployment. */
@@ -37,11 +38,6 @@
     });
   });
 
-const sleep = (ms: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-
 /** Programs of one deployment on this machine, each its own process. */
 export class Deployment {
   readonly entries: Program[] = [];
--- a/packages/agent/src/Agent.ts
+++ b/packages/agent/src/Agent.ts
@@ -1,5 +1,6 @@
-import { createHash, randomBytes } from 'node:crypto';
+import { createHash } from 'node:crypto';
 import { match } from 'ts-pattern';
+import { sleep } from '@marjorammast/protocol';
 import type { Credit, Handlers, Link, Params, Result, Slice, Start } from '@marjorammast/protocol';
 import type { Log, Metrics, Timeline } from '@marjorammast/telemetry';
 import {
@@ -7,6 +8,7 @@
   DIAL_JITTER_MS,
   DIAL_PAUSE_MS,
   HOUSEKEEPING_MS,
+  STOP_POLL_MS,
   TARGET_LEASE_MS,
 } from './constants';
 import { gate } from './gate';
@@ -22,6 +24,10 @@
   entries: readonly string[];
   dial: (address: string, handlers: Handlers) => Promise<Link>;
   runTask: TaskRunner;
+  /** Creates an identifier that no other process creates. */
+  createId: () => string;
+  /** Uniform random numbers below 1. */
+  random: () => number;
   log: Log;
   metrics: Metrics;
   timeline: Timeline;
@@ -31,7 +37,7 @@
 
 /** The gate between the entries and one target. */
 export class Agent {
-  readonly incarnation = randomBytes(6).toString('hex');
+  readonly incarnation: string;
 
   private readonly records = StartRecords.create();
 
@@ -59,6 +65,7 @@
   private housekeeping: NodeJS.Timeout | undefined;
 
   private constructor(private readonly parts: AgentParts) {
+    this.incarnation = parts.createId();
     this.addresses = [...parts.entries];
     this.slots = Slots.create((entry) =>
       createHash('md5').update(`${parts.name}>${entry}`).digest().readUInt32LE(0),
@@ -89,9 +96,7 @@
     this.dropTarget('stopping');
     const until = performance.now() + timeoutMs;
     while (this.slots.running > 0 && performance.now() < until) {
-      await new Promise((resolve) => {
-        setTimeout(resolve, 20);
-      });
+      await sleep(STOP_POLL_MS);
     }
     this.halt();
   }
@@ -371,7 +376,8 @@
   }
 
   private scheduleConnect(): void {
-    const pause = Math.max(0, DIAL_PAUSE_MS - HOUSEKEEPING_MS) + Math.random() * DIAL_JITTER_MS;
+    const pause =
+      Math.max(0, DIAL_PAUSE_MS - HOUSEKEEPING_MS) + this.parts.random() * DIAL_JITTER_MS;
     setTimeout(() => this.connect(), pause);
   }
 
--- a/packages/agent/src/constants.ts
+++ b/packages/agent/src/constants.ts
@@ -12,3 +12,6 @@
 
 /** Period of the agent's housekeeping, in milliseconds. */
 export const HOUSEKEEPING_MS = 1_000;
+
+/** Pause between two looks at the tasks in progress during a stop, in milliseconds. */
+export const STOP_POLL_MS = 20;
--- a/packages/entry/src/ClusterController.ts
+++ b/packages/entry/src/ClusterController.ts
@@ -1,4 +1,3 @@
-import { randomBytes } from 'node:crypto';
 import { z } from 'zod';
 import {
   CLOCK_SKEW_MS,
@@ -8,6 +7,7 @@
   PEER_TIMEOUT_MS,
   STORE_POLL_MS,
   clusterMapSchema,
+  createId,
   emptyMap,
   shardsOf,
   withFairShare,
@@ -53,8 +53,7 @@
 type Peer = { member: Member; link?: Link; lastHeardAt: number; news?: PeerNews };
 
 /** Makes a value different from every other one, so that a lost reply can be settled. */
-export const withNonce = (value: object): string =>
-  JSON.stringify({ ...value, nonce: randomBytes(6).toString('hex') });
+export const withNonce = (value: object): string => JSON.stringify({ ...value, nonce: createId() });
 
 /** An agent process that may hold started-records. */
 export type RegisteredAgent = { name: string; incarnation: string };
--- a/packages/entry/src/Entry.ts
+++ b/packages/entry/src/Entry.ts
@@ -1,6 +1,12 @@
-import { randomBytes } from 'node:crypto';
 import { match } from 'ts-pattern';
-import { CALL_TIMEOUT_MS, MAX_NOT_AFTER_MS, failure, jobId, shardOf } from '@marjorammast/protocol';
+import {
+  CALL_TIMEOUT_MS,
+  MAX_NOT_AFTER_MS,
+  failure,
+  jobId,
+  shardOf,
+  sleep,
+} from '@marjorammast/protocol';
 import type {
   Answer,
   Handlers,
@@ -40,6 +46,8 @@
   store: Store;
   dial: (address: string, handlers: Handlers) => Promise<Link>;
   place: Placement;
+  /** Creates an identifier that no other process creates. */
+  createId: () => string;
   log: Log;
   metrics: Metrics;
   timeline: Timeline;
@@ -50,11 +58,6 @@
 
 const STOP_POLL_MS = 20;
 
-const sleep = (ms: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-
 /** What a caller can learn about a job by its key. */
 export type JobView = Result<'find'> | { type: 'unreachable'; owner: string };
 
@@ -92,7 +95,7 @@
 
   private constructor(readonly parts: EntryParts) {
     const { name, dataCenter, address, log, metrics, timeline, prefix, store, dial } = parts;
-    const incarnation = randomBytes(6).toString('hex');
+    const incarnation = parts.createId();
     this.member = { name, incarnation, address, dataCenter };
     this.environment = EnvironmentController.create({
       cluster: () => this.cluster,
@@ -232,7 +235,8 @@
     this.openCalls += 1;
     try {
       if (this.isDraining && !this.cluster.isMember && this.cluster.others().length === 0) {
-        const refusal = failure('draining', 'notRun', 'this entry is stopping');
+        const verdict = isFirst ? 'notRun' : 'mayHaveRun';
+        const refusal = failure('draining', verdict, 'this entry is stopping');
         return { type: 'failed', failure: refusal };
       }
       return await this.gateway.submit(submission, isFirst);
@@ -439,7 +443,7 @@
     const owned = new Set(this.ownership.owned);
     let key = '';
     do {
-      key = `request-${randomBytes(9).toString('base64url')}`;
+      key = `request-${this.parts.createId()}`;
     } while (owned.size > 0 && !owned.has(shardOf(jobId(team, key))));
     return key;
   }
--- a/packages/entry/src/EnvironmentController.ts
+++ b/packages/entry/src/EnvironmentController.ts
@@ -1,5 +1,10 @@
-import { setTimeout as sleep } from 'node:timers/promises';
-import { FRESHNESS_MS, environmentSchema, releaseSchema, sliceOf } from '@marjorammast/protocol';
+import {
+  FRESHNESS_MS,
+  environmentSchema,
+  releaseSchema,
+  sleep,
+  sliceOf,
+} from '@marjorammast/protocol';
 import type { Environment, Policy, Release, Slice } from '@marjorammast/protocol';
 import type { StoredValue } from '@marjorammast/store';
 import type { Log, Timeline } from '@marjorammast/telemetry';
--- a/packages/entry/src/Gateway.ts
+++ b/packages/entry/src/Gateway.ts
@@ -1,5 +1,4 @@
-import { setTimeout as sleep } from 'node:timers/promises';
-import { CallError, failure, jobId, shardOf } from '@marjorammast/protocol';
+import { CallError, failure, jobId, shardOf, sleep } from '@marjorammast/protocol';
 import type { Answer, Result, Submission, Verdict } from '@marjorammast/protocol';
 import { REROUTE_MS } from './constants';
 import type { Reply } from './Job';
@@ -46,17 +45,22 @@
   async submit(submission: Submission, isFirst: boolean): Promise<Answer> {
     const deadlineAt = performance.now() + submission.deadlineMs;
     const shard = shardOf(jobId(submission.team, submission.key));
-    let mayHaveRun: Verdict = 'notRun';
+    // Another copy of the key may have run, unless the caller vouches that there is none.
+    let verdict: Verdict = isFirst ? 'notRun' : 'mayHaveRun';
     for (;;) {
       const leftMs = deadlineAt - performance.now();
       if (leftMs <= 0) {
-        const failed = failure('unavailable', mayHaveRun, 'no owner of the key could be reached');
+        const failed = failure('unavailable', verdict, 'no owner of the key could be reached');
         return { type: 'failed', failure: failed };
       }
-      const first = isFirst && mayHaveRun === 'notRun';
-      const { reply, isDelivered } = await this.deliver(shard, submission, leftMs, first);
+      const { reply, isDelivered } = await this.deliver(
+        shard,
+        submission,
+        leftMs,
+        verdict === 'notRun',
+      );
       if (reply.type === 'answer') return reply.answer;
-      if (isDelivered) mayHaveRun = 'mayHaveRun';
+      if (isDelivered) verdict = 'mayHaveRun';
       await Promise.all([this.host.refresh(), sleep(REROUTE_MS)]);
     }
   }
--- a/packages/entry/src/Handover.ts
+++ b/packages/entry/src/Handover.ts
@@ -1,4 +1,4 @@
-import { CallError, jobId, shardOf } from '@marjorammast/protocol';
+import { CallError, jobId, shardOf, sleep } from '@marjorammast/protocol';
 import type { JobState, Params, Result, ShardClaim } from '@marjorammast/protocol';
 import type { Log, Timeline } from '@marjorammast/telemetry';
 import type { Job } from './Job';
@@ -106,9 +106,7 @@
       } catch (error) {
         if (!(error instanceof CallError)) throw error;
       }
-      await new Promise((resolve) => {
-        setTimeout(resolve, ADOPT_PAUSE_MS);
-      });
+      await sleep(ADOPT_PAUSE_MS);
     }
     throw CallError.create('lost', `${owner} did not adopt`);
   }
--- a/packages/entry/src/Ownership.ts
+++ b/packages/entry/src/Ownership.ts
@@ -1,4 +1,4 @@
-import { CLOCK_SKEW_MS, MAX_NOT_AFTER_MS, shardOf } from '@marjorammast/protocol';
+import { CLOCK_SKEW_MS, MAX_NOT_AFTER_MS, shardOf, sleep } from '@marjorammast/protocol';
 import type { ShardClaim, StartRecord } from '@marjorammast/protocol';
 import type { Log, Timeline } from '@marjorammast/telemetry';
 import type { ConnectedAgent } from './AgentController';
@@ -119,11 +119,7 @@
     }, FENCE_WAIT_MS);
     while (missing.size > 0 && Date.now() < ambiguousUntil && this.holdsAny(claims)) {
       await Promise.all([...missing.values()].map((agent) => this.fence(agent, claims, missing)));
-      if (missing.size > 0) {
-        await new Promise((resolve) => {
-          setTimeout(resolve, FENCE_RETRY_MS / 4);
-        });
-      }
+      if (missing.size > 0) await sleep(FENCE_RETRY_MS);
     }
     clearTimeout(deadline);
     this.makeReady(claims, 0);
--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -17,7 +17,7 @@
 export const FENCE_WAIT_MS = 3_000;
 
 /** Pause between two tries to fence an agent that did not answer, in milliseconds. */
-export const FENCE_RETRY_MS = 1_000;
+export const FENCE_RETRY_MS = 250;
 
 /** Pause before a gateway asks again for the owner of a job, in milliseconds. */
 export const REROUTE_MS = 100;
--- a/packages/standins/src/StoreStandIn.ts
+++ b/packages/standins/src/StoreStandIn.ts
@@ -1,6 +1,7 @@
 import { Hono } from 'hono';
 import { stream } from 'hono/streaming';
 import { z } from 'zod';
+import { sleep } from '@marjorammast/protocol';
 
 /** Faults that can be switched on. */
 export const faultsSchema = z.strictObject({
@@ -47,11 +48,6 @@
 type Stored = { value: string; revision: number };
 type Counts = { reads: number; writes: number };
 
-const sleep = (ms: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-
 const decode = (text: string): string => Buffer.from(text, 'base64').toString('latin1');
 
 /** In-memory stand-in of the platform's store, without its durability. */
--- a/packages/store/src/swap.ts
+++ b/packages/store/src/swap.ts
@@ -1,4 +1,4 @@
-import { setTimeout as sleep } from 'node:timers/promises';
+import { sleep } from '@marjorammast/protocol';
 import type { Store, StoredValue } from './Store';
 
 /** Tries to settle a write whose reply was lost. */
