--- a/packages/entry/src/AgentController.ts
+++ b/packages/entry/src/AgentController.ts
@@ -1,6 +1,7 @@
 import { CALL_TIMEOUT_MS, CallError, START_SILENCE_MS } from '@marjorammast/protocol';
 import type { Credit, Link, Params, Policy, Result, Slice, Start } from '@marjorammast/protocol';
 import type { Log, Timeline } from '@marjorammast/telemetry';
+import { REFUSAL_PAUSE_MS } from './constants';
 import { CreditPool } from './CreditPool';
 import { SpeedEstimates } from './SpeedEstimates';
 
@@ -19,6 +20,8 @@
   isProbing: boolean;
   failures: number;
   ejectedUntil: number;
+  /** Time until which the agent gets no start after it refused one. */
+  pausedUntil: number;
   version: number;
 };
 
@@ -107,9 +110,11 @@
   /** True when the agent may be sent work. */
   isUsable(agent: ConnectedAgent): boolean {
     const slice = this.host.slice();
+    const now = performance.now();
     return (
       !agent.isSuspected &&
-      agent.ejectedUntil <= performance.now() &&
+      agent.ejectedUntil <= now &&
+      agent.pausedUntil <= now &&
       !slice.outDataCenters.includes(agent.dataCenter) &&
       !slice.draining.includes(agent.name)
     );
@@ -157,6 +162,16 @@
     }
   }
 
+  /**
+   * Sends an agent nothing for a moment, so that one that refuses does not get everything.
+   *
+   * @param agent - the agent
+   */
+  pause(agent: ConnectedAgent): void {
+    agent.pausedUntil = performance.now() + REFUSAL_PAUSE_MS;
+    setTimeout(() => this.host.creditsArrived(), REFUSAL_PAUSE_MS);
+  }
+
   /** Looks for agents that owe an answer and have been silent. */
   supervise(): void {
     const now = performance.now();
@@ -185,6 +200,7 @@
       isProbing: false,
       failures: 0,
       ejectedUntil: 0,
+      pausedUntil: 0,
       version: -1,
     };
     this.agents.set(name, agent);
--- a/packages/entry/src/Dispatcher.ts
+++ b/packages/entry/src/Dispatcher.ts
@@ -246,17 +246,15 @@
       .with('configurationBehind', () => {
         void this.host.agents.configure(agent).then(() => this.requeue(job, index));
       })
-      .with('noTarget', () => {
-        this.host.agents.pool.remove(agent.name);
+      .with('noTarget', 'staleNews', 'dataCenterOut', 'targetDraining', 'revoked', () => {
+        this.host.agents.pause(agent);
         this.requeue(job, index);
       })
       .with('expired', () => {
         job.tasks[index] = { type: 'waiting' };
         this.host.fail(job, failure('expired', job.verdict, 'notAfter or the deadline has passed'));
       })
-      .with('staleNews', 'staleCredit', 'dataCenterOut', 'targetDraining', 'revoked', () =>
-        this.requeue(job, index),
-      )
+      .with('staleCredit', () => this.requeue(job, index))
       .exhaustive();
   }
 
--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -36,3 +36,6 @@
 
 /** Pause before an entry hands over shards to a new member, in milliseconds. */
 export const BALANCE_PAUSE_MS = 1_000;
+
+/** Time without starts for an agent that refused one, in milliseconds. */
+export const REFUSAL_PAUSE_MS = 100;
--- /dev/null
+++ b/packages/proofs/tests/faults2.test.ts
@@ -0,0 +1,3 @@
+import { expectPromises } from './support/expectPromises';
+
+expectPromises(41002);
--- a/packages/proofs/tests/support/Network.ts
+++ b/packages/proofs/tests/support/Network.ts
@@ -74,13 +74,21 @@
 
   private readonly pipes = new Set<Pipe>();
 
-  private constructor(readonly latency: () => number) {}
+  private constructor(private readonly random: () => number) {}
 
-  /** @param latency - gives the one-way delay of each message, in milliseconds */
-  static create(latency: () => number): Network {
-    return new Network(latency);
+  /** @param random - uniform random numbers below 1 */
+  static create(random: () => number): Network {
+    return new Network(random);
   }
 
+  /** One-way delay of the next message, in milliseconds: mostly short, sometimes much longer. */
+  latency(): number {
+    return 0.5 + 3 * this.random() ** 4 + this.jitterMs * this.random() ** 8;
+  }
+
+  /** Added to each message at random while it is positive, in milliseconds. */
+  jitterMs = 0;
+
   /** Makes a node reachable. */
   listen(name: string, accept: Accept): void {
     this.nodeOf(name).accept = accept;
--- a/packages/proofs/tests/support/World.ts
+++ b/packages/proofs/tests/support/World.ts
@@ -52,6 +52,9 @@
 
   private ids = 0;
 
+  /** Clients that wait for an answer. */
+  openClients = 0;
+
   private isOver = false;
 
   private constructor(
@@ -60,7 +63,7 @@
   ) {
     const generator = xoroshiro128plus(seed);
     this.random = () => uniformFloat64(generator);
-    this.network = Network.create(() => 0.5 + 3 * this.random() ** 4);
+    this.network = Network.create(this.random);
   }
 
   /** Starts a deployment with an environment in force. */
@@ -187,23 +190,9 @@
 
   /** A client that submits a job until it is answered. */
   async submitUntilAnswered(submission: Submission, firstEntry: number): Promise<void> {
-    const job = `${submission.team}/${submission.key}`;
-    let hasAnswer = false;
-    for (let attempt = 0; attempt < 40 && !this.isOver; attempt += 1) {
-      const answer = await this.submitOnce(submission, firstEntry + attempt);
-      if (answer) {
-        hasAnswer = true;
-        this.seen.answers.push({
-          at: performance.now(),
-          job,
-          count: submission.tasks.length,
-          answer,
-        });
-        if (!this.isWorthRetry(answer)) return;
-      }
-      await sleep(CLIENT_PAUSE_MS);
-    }
-    if (!hasAnswer) this.seen.unanswered.push(job);
+    this.openClients += 1;
+    await this.tryUntilAnswered(submission, firstEntry);
+    this.openClients -= 1;
   }
 
   /** Heals the network and the store and starts everything that is down. */
@@ -212,6 +201,7 @@
     this.store.losesReplies = false;
     this.store.isWatchSilent = false;
     this.store.delayMs = 3;
+    this.network.jitterMs = 0;
     const names = [...this.entries, ...this.agents].map(({ name }) => name);
     names.forEach((name) => {
       this.network.freeze(name, false);
@@ -247,6 +237,26 @@
     return `id${this.ids}`;
   };
 
+  private async tryUntilAnswered(submission: Submission, firstEntry: number): Promise<void> {
+    const job = `${submission.team}/${submission.key}`;
+    let hasAnswer = false;
+    for (let attempt = 0; attempt < 40 && !this.isOver; attempt += 1) {
+      const answer = await this.submitOnce(submission, firstEntry + attempt);
+      if (answer) {
+        hasAnswer = true;
+        this.seen.answers.push({
+          at: performance.now(),
+          job,
+          count: submission.tasks.length,
+          answer,
+        });
+        if (!this.isWorthRetry(answer)) return;
+      }
+      await sleep(CLIENT_PAUSE_MS);
+    }
+    if (!hasAnswer) this.seen.unanswered.push(job);
+  }
+
   private isWorthRetry(answer: Answer): boolean {
     const worth = ['unavailable', 'overloaded', 'draining', 'ownerLost', 'stale'];
     return answer.type === 'failed' && worth.includes(answer.failure.code);
--- a/packages/proofs/tests/support/schedule.ts
+++ b/packages/proofs/tests/support/schedule.ts
@@ -3,7 +3,10 @@
 import { DATA_CENTERS, World } from './World';
 import type { WorldSize } from './World';
 
-const START_MS = 6_000;
+/** Time from the end of the start-up to the first fault, in milliseconds. */
+const SETTLED_MS = 500;
+
+const LONGEST_FAULT_MS = 7_000;
 
 const WINDOW_MS = 12_000;
 
@@ -29,6 +32,7 @@
     | 'storeSlow'
     | 'repliesLost'
     | 'watchSilent'
+    | 'jitter'
     | 'takeOut'
     | 'race'
     | 'cancelAll';
@@ -65,6 +69,7 @@
   'storeSlow',
   'repliesLost',
   'watchSilent',
+  'jitter',
   'takeOut',
   'race',
   'cancelAll',
@@ -73,7 +78,7 @@
 const fault: fc.Arbitrary<Fault> = fc.record({
   type: fc.constantFrom(...faultTypes),
   atMs: time,
-  forMs: fc.integer({ min: 100, max: 7_000 }),
+  forMs: fc.integer({ min: 100, max: LONGEST_FAULT_MS }),
   node: fc.nat(3),
   other: fc.nat(3),
 });
@@ -86,10 +91,10 @@
   againMs: fc.option(fc.integer({ min: 0, max: 6_000 }), { nil: undefined }),
 });
 
-/** Generates runs with up to four faults, which may overlap. */
+/** Generates runs with up to five faults, which may overlap. */
 export const schedule: fc.Arbitrary<Schedule> = fc.record({
   seed: fc.integer(),
-  faults: fc.array(fault, { minLength: 1, maxLength: 4 }),
+  faults: fc.array(fault, { minLength: 1, maxLength: 5 }),
   work: fc.array(work, { minLength: 4, maxLength: 10 }),
 });
 
@@ -191,6 +196,12 @@
         store.isWatchSilent = false;
       };
     })
+    .with('jitter', () => {
+      network.jitterMs = 3_000;
+      return () => {
+        network.jitterMs = 0;
+      };
+    })
     .with('takeOut', () => {
       void world.changeDataCenters(e, [center]);
       return () => void world.changeDataCenters(o, []);
@@ -220,28 +231,25 @@
 export const runSchedule = async (run: Schedule): Promise<World> => {
   const world = await World.create(size, run.seed);
   run.work.forEach(({ atMs, runsMs, entry, urgent, againMs }, index) => {
-    setTimeout(
-      () => {
-        const submission = world.createSubmission(`job-${index}`, runsMs, urgent);
-        void world.submitUntilAnswered(submission, entry);
-        if (againMs === undefined) return;
-        setTimeout(() => void world.submitUntilAnswered(submission, entry + 1), againMs);
-      },
-      START_MS - 5_500 + atMs,
-    );
+    setTimeout(() => {
+      const submission = world.createSubmission(`job-${index}`, runsMs, urgent);
+      void world.submitUntilAnswered(submission, entry);
+      if (againMs === undefined) return;
+      setTimeout(() => void world.submitUntilAnswered(submission, entry + 1), againMs);
+    }, SETTLED_MS + atMs);
   });
   run.faults.forEach((one) => {
-    setTimeout(
-      () => {
-        const end = apply(world, one);
-        setTimeout(end, one.forMs);
-      },
-      START_MS - 5_500 + one.atMs,
-    );
+    setTimeout(() => {
+      const end = apply(world, one);
+      setTimeout(end, one.forMs);
+    }, SETTLED_MS + one.atMs);
   });
-  await jest.advanceTimersByTimeAsync(START_MS + WINDOW_MS + 7_000);
+  await jest.advanceTimersByTimeAsync(SETTLED_MS + WINDOW_MS + LONGEST_FAULT_MS);
   world.heal();
-  await jest.advanceTimersByTimeAsync(CLIENTS_MS);
+  const until = performance.now() + CLIENTS_MS;
+  while (world.openClients > 0 && performance.now() < until) {
+    await jest.advanceTimersByTimeAsync(1_000);
+  }
   world.end();
   await jest.advanceTimersByTimeAsync(2_000);
   jest.clearAllTimers();
