--- /dev/null
+++ b/marjorammast-app/src/bench/control.ts
@@ -0,0 +1,185 @@
+import { sleep } from '@marjorammast/protocol';
+import { callEntry } from '../callEntry';
+import { Deployment } from '../local/Deployment';
+import type { Program } from '../local/Deployment';
+import { SAMPLE_ENVIRONMENT } from '../samples';
+import { fitSlope, valueAt } from './fitSlope';
+
+/** Agents in each step; a factor of 8 from first to last. */
+const AGENT_STEPS = [8, 16, 32, 64] as const;
+
+/** Entries in the steps over agents, and in the step that shows the cost of an entry. */
+const ENTRIES = 3;
+const MORE_ENTRIES = 8;
+const AGENTS_WITH_MORE_ENTRIES = 16;
+
+/** Size that the system has to carry. */
+const TARGET_AGENTS = 860;
+const TARGET_ENTRIES = 12;
+
+const SETTLE_MS = 4_000;
+
+const WINDOW_MS = 20_000;
+
+const CHANGES = 5;
+
+const US_PER_S = 1e6;
+
+const BYTES_PER_MB = 1024 * 1024;
+
+type Usage = {
+  sentBytes: number;
+  receivedBytes: number;
+  user: number;
+  system: number;
+  rssBytes: number;
+};
+
+/** Cost of one role, for each node. */
+type Cost = { rssMb: number; cpuPercent: number; bytesPerS: number };
+
+type Step = {
+  entries: number;
+  agents: number;
+  entry: Cost;
+  agent: Cost;
+  storeReadsPerS: number;
+  storeWritesPerS: number;
+  changeEntryBytes: number;
+  changeAgentBytes: number;
+  changeMs: number;
+};
+
+const usageOf = async ({ http }: Program): Promise<Usage> =>
+  (await callEntry(http, 'GET', '/health/usage')).body as unknown as Usage;
+
+const mean = (values: readonly number[]): number =>
+  values.reduce((sum, value) => sum + value, 0) / values.length;
+
+const bytesOf = ({ sentBytes, receivedBytes }: Usage): number => sentBytes + receivedBytes;
+
+const costOf = (before: readonly Usage[], after: readonly Usage[], windowS: number): Cost => {
+  const perNode = after.map((end, index) => {
+    const start = before[index] ?? end;
+    const cpuUs = end.user + end.system - start.user - start.system;
+    return {
+      rssMb: end.rssBytes / BYTES_PER_MB,
+      cpuPercent: (cpuUs / US_PER_S / windowS) * 100,
+      bytesPerS: (bytesOf(end) - bytesOf(start)) / windowS,
+    };
+  });
+  return {
+    rssMb: mean(perNode.map(({ rssMb }) => rssMb)),
+    cpuPercent: mean(perNode.map(({ cpuPercent }) => cpuPercent)),
+    bytesPerS: mean(perNode.map(({ bytesPerS }) => bytesPerS)),
+  };
+};
+
+const usagesOf = (programs: readonly Program[]): Promise<Usage[]> =>
+  Promise.all(programs.map(usageOf));
+
+const storeCounts = async (deployment: Deployment): Promise<{ reads: number; writes: number }> =>
+  (await callEntry(deployment.store.http, 'GET', '/faults')).body as never;
+
+/** Applies changes and gives the extra bytes and the time of one. */
+const measureChanges = async (deployment: Deployment, idle: { entry: Cost; agent: Cost }) => {
+  const [first = ''] = deployment.addresses;
+  const before = [await usagesOf(deployment.entries), await usagesOf(deployment.agents)] as const;
+  const startedAt = performance.now();
+  let changeMs = 0;
+  for (let change = 0; change < CHANGES; change += 1) {
+    const changeAt = performance.now();
+    await callEntry(first, 'POST', `/v1/data-centers/ayutthaya/${change % 2 === 0 ? 'out' : 'in'}`);
+    const { body } = await callEntry(first, 'GET', '/v1/environment');
+    await deployment.until('change at every agent', async () => {
+      const all = await Promise.all(
+        deployment.agents.map(({ http }) => callEntry(http, 'GET', '/health')),
+      );
+      return all.every((agent) => agent.body['version'] === body['version']);
+    });
+    changeMs = Math.max(changeMs, performance.now() - changeAt);
+  }
+  const windowS = (performance.now() - startedAt) / 1_000;
+  const entry = costOf(before[0], await usagesOf(deployment.entries), windowS);
+  const agent = costOf(before[1], await usagesOf(deployment.agents), windowS);
+  const extra = (busy: Cost, quiet: Cost) =>
+    Math.max(0, ((busy.bytesPerS - quiet.bytesPerS) * windowS) / CHANGES);
+  return {
+    changeEntryBytes: extra(entry, idle.entry),
+    changeAgentBytes: extra(agent, idle.agent),
+    changeMs,
+  };
+};
+
+const measureStep = async (entries: number, agents: number): Promise<Step> => {
+  const dataCenters = ['bangkok-north', 'ayutthaya'];
+  const size = { entries, agents, dataCenters, withTargets: false, logLevel: 'warn' };
+  const deployment = await Deployment.create(size, SAMPLE_ENVIRONMENT);
+  try {
+    await sleep(SETTLE_MS);
+    const before = [await usagesOf(deployment.entries), await usagesOf(deployment.agents)] as const;
+    const storeBefore = await storeCounts(deployment);
+    const startedAt = performance.now();
+    await sleep(WINDOW_MS);
+    const windowS = (performance.now() - startedAt) / 1_000;
+    const storeAfter = await storeCounts(deployment);
+    const entry = costOf(before[0], await usagesOf(deployment.entries), windowS);
+    const agent = costOf(before[1], await usagesOf(deployment.agents), windowS);
+    return {
+      entries,
+      agents,
+      entry,
+      agent,
+      storeReadsPerS: (storeAfter.reads - storeBefore.reads) / windowS,
+      storeWritesPerS: (storeAfter.writes - storeBefore.writes) / windowS,
+      ...(await measureChanges(deployment, { entry, agent })),
+    };
+  } finally {
+    await deployment.stop();
+  }
+};
+
+const KEYS = ['rssMb', 'cpuPercent', 'bytesPerS'] as const;
+
+const extrapolate = (steps: readonly Step[], role: 'entry' | 'agent') => {
+  const overAgents = steps.filter(({ entries }) => entries === ENTRIES);
+  const few = overAgents.find(({ agents }) => agents === AGENTS_WITH_MORE_ENTRIES);
+  const many = steps.find(({ entries }) => entries === MORE_ENTRIES);
+  const slopes = KEYS.map((key) => {
+    const line = fitSlope(overAgents.map((step) => [step.agents, step[role][key]] as const));
+    const perEntry =
+      few && many ? (many[role][key] - few[role][key]) / (MORE_ENTRIES - ENTRIES) : 0;
+    const at860 = valueAt(line, TARGET_AGENTS) + perEntry * (TARGET_ENTRIES - ENTRIES);
+    return [key, { intercept: line.intercept, perAgent: line.slope, perEntry, at860 }] as const;
+  });
+  const last = overAgents[overAgents.length - 1];
+  return {
+    ...last?.[role],
+    slopes: Object.fromEntries(slopes),
+    at860: Object.fromEntries(slopes.map(([key, { at860 }]) => [key, at860])),
+  };
+};
+
+/**
+ * Measures what each role costs without any work, with real processes, and works out the cost at
+ * the size that the system has to carry.
+ *
+ * @returns the measured steps, the slopes and the extrapolation
+ */
+export const runControl = async (): Promise<Record<string, unknown>> => {
+  const steps: Step[] = [];
+  for (let index = 0; index < AGENT_STEPS.length; index += 1) {
+    steps.push(await measureStep(ENTRIES, AGENT_STEPS[index] ?? 0));
+  }
+  steps.push(await measureStep(MORE_ENTRIES, AGENTS_WITH_MORE_ENTRIES));
+  const last = steps[steps.length - 1];
+  const perEntry = (total: number) => (total / (last?.entries ?? 1)) * TARGET_ENTRIES;
+  return {
+    agent: extrapolate(steps, 'agent'),
+    entry: extrapolate(steps, 'entry'),
+    storeReadsPerS: perEntry(last?.storeReadsPerS ?? 0),
+    storeWritesPerS: perEntry(last?.storeWritesPerS ?? 0),
+    changeMs: Math.max(...steps.map(({ changeMs }) => changeMs)),
+    steps,
+  };
+};
--- /dev/null
+++ b/marjorammast-app/src/bench/path.ts
@@ -0,0 +1,1 @@
+export const runPath = async (): Promise<Record<string, unknown>> => ({});
--- /dev/null
+++ b/marjorammast-app/src/bench/placement.ts
@@ -0,0 +1,1 @@
+export const runPlacement = async (): Promise<Record<string, unknown>> => ({});
--- a/marjorammast-app/src/local/Deployment.ts
+++ b/marjorammast-app/src/local/Deployment.ts
@@ -17,6 +17,8 @@
   /** Slowness of each target in turn; 1 when absent. */
   slowness?: readonly number[];
   logLevel?: string;
+  /** False when the caller announces targets itself; true when absent. */
+  withTargets?: boolean;
 };
 
 /** One running program. */
@@ -137,7 +139,9 @@
         this.agents.map(({ http }) => callEntry(http, 'GET', '/health')),
       );
       return statuses.every(
-        ({ body }) => body['target'] !== '' && body['entries'] === this.entries.length,
+        ({ body }) =>
+          (body['target'] !== '' || this.size.withTargets === false) &&
+          body['entries'] === this.entries.length,
       );
     });
   }
@@ -170,7 +174,7 @@
     }
     for (let index = 0; index < agents; index += 1) {
       await this.startAgent(index);
-      await this.startTarget(index);
+      if (this.size.withTargets !== false) await this.startTarget(index);
     }
   }
 
