--- a/marjorammast-app/src/bench/path.ts
+++ b/marjorammast-app/src/bench/path.ts
@@ -1,1 +1,112 @@
-export const runPath = async (): Promise<Record<string, unknown>> => ({});
+import { callEntry } from '../callEntry';
+import { Deployment } from '../local/Deployment';
+import { SAMPLE_ENVIRONMENT } from '../samples';
+import { quantile } from './workload';
+
+const AGENTS = 6;
+
+/** Calls of each kind, one after the other. */
+const CALLS = 400;
+
+const WARM_UP_CALLS = 100;
+
+const JOBS = 60;
+
+const TASKS_PER_JOB = 170;
+
+const JOBS_AT_ONCE = 4;
+
+const TASK_MS = 5;
+
+const US_PER_S = 1e6;
+
+const BYTES_PER_MB = 1024 * 1024;
+
+type Usage = { user: number; system: number; rssBytes: number };
+
+const usageOf = async (address: string): Promise<Usage> =>
+  (await callEntry(address, 'GET', '/health/usage')).body as unknown as Usage;
+
+const timed = async (call: () => Promise<unknown>): Promise<number> => {
+  const startedAt = performance.now();
+  await call();
+  return performance.now() - startedAt;
+};
+
+/** Times calls through an entry and calls to a target, in turn. */
+const measureDelay = async (deployment: Deployment) => {
+  const [entry = ''] = deployment.addresses;
+  const target = deployment.targets[0]?.http ?? '';
+  const through: number[] = [];
+  const direct: number[] = [];
+  const payload = { runMs: TASK_MS };
+  for (let call = 0; call < CALLS + WARM_UP_CALLS; call += 1) {
+    const request = { team: 'kalahari-booths', service: 'availability', method: 'lookup', payload };
+    const viaEntry = await timed(() => callEntry(entry, 'POST', '/v1/requests', request));
+    const task = { job: `direct-${call}`, index: 0, kind: 'availability.lookup', payload };
+    const atTarget = await timed(() => callEntry(target, 'POST', '/tasks', task));
+    if (call >= WARM_UP_CALLS) {
+      through.push(viaEntry);
+      direct.push(atTarget);
+    }
+  }
+  return {
+    directP50Ms: quantile(direct, 0.5),
+    addedP50Ms: quantile(through, 0.5) - quantile(direct, 0.5),
+    addedP99Ms: quantile(through, 0.99) - quantile(direct, 0.99),
+  };
+};
+
+/** Sends whole jobs and gives the entry's processor time for a start. */
+const measureThroughput = async (deployment: Deployment, round: string) => {
+  const [entry = ''] = deployment.addresses;
+  const before = await usageOf(entry);
+  const startedAt = performance.now();
+  let next = 0;
+  const client = async (): Promise<void> => {
+    while (next < JOBS) {
+      const key = `path-${round}-${next}`;
+      next += 1;
+      const { status, body } = await callEntry(entry, 'POST', '/v1/jobs', {
+        key,
+        team: 'kalahari-booths',
+        kind: 'slot-hold',
+        notAfter: Date.now() + 60_000,
+        deadlineMs: 60_000,
+        tasks: Array.from({ length: TASKS_PER_JOB }, () => ({ payload: { runMs: TASK_MS } })),
+      });
+      if (status !== 200) throw new Error(JSON.stringify(body));
+    }
+  };
+  await Promise.all(Array.from({ length: JOBS_AT_ONCE }, client));
+  const seconds = (performance.now() - startedAt) / 1_000;
+  const after = await usageOf(entry);
+  const starts = JOBS * TASKS_PER_JOB;
+  const cpuS = (after.user + after.system - before.user - before.system) / US_PER_S;
+  return {
+    startsPerS: starts / seconds,
+    startsPerCoreS: starts / cpuS,
+    entryRssMb: after.rssBytes / BYTES_PER_MB,
+    agentRssMb: (await usageOf(deployment.agents[0]?.http ?? '')).rssBytes / BYTES_PER_MB,
+  };
+};
+
+/**
+ * Measures the path through one entry, with separate processes: the delay it adds to a call and
+ * the starts that one core of it carries.
+ */
+export const runPath = async (): Promise<Record<string, unknown>> => {
+  const teams = { 'kalahari-booths': { maxRunning: 10_000 } };
+  const deployment = await Deployment.create(
+    { entries: 1, agents: AGENTS, dataCenters: ['bangkok-north', 'ayutthaya'], logLevel: 'warn' },
+    { ...SAMPLE_ENVIRONMENT, teams },
+  );
+  try {
+    const delay = await measureDelay(deployment);
+    const cold = await measureThroughput(deployment, 'cold');
+    const warm = await measureThroughput(deployment, 'warm');
+    return { agents: AGENTS, taskMs: TASK_MS, ...delay, cold, warm };
+  } finally {
+    await deployment.stop();
+  }
+};
--- a/marjorammast-app/src/bench/placement.ts
+++ b/marjorammast-app/src/bench/placement.ts
@@ -1,1 +1,129 @@
-export const runPlacement = async (): Promise<Record<string, unknown>> => ({});
+import { createRandomPlacement, placeFastest } from '@marjorammast/entry';
+import type { Placement } from '@marjorammast/entry';
+import { sleep } from '@marjorammast/protocol';
+import { createBaselines, omniscient, simulate } from './baselines';
+import { BENCH_KIND, BENCH_TEAM, LocalSystem } from './LocalSystem';
+import { createRandom, drawJobs, quantile } from './workload';
+import type { BenchJob, Fleet } from './workload';
+
+const WORKERS = 11;
+const SLOTS = 8;
+
+/** Ratio of the slowest worker to the fastest. */
+const SPREAD = 8;
+
+const LOADS = [0.5, 0.8, 0.95] as const;
+
+const DURATION_MS = 20_000;
+
+/** Jobs that arrive earlier teach the speeds and do not count. */
+const WARM_UP_MS = 5_000;
+
+const ENTRIES = 2;
+
+const DEADLINE_MS = 60_000;
+
+const NOT_AFTER_MS = 110_000;
+
+const fleet: Fleet = {
+  slowness: Array.from({ length: WORKERS }, (_, index) => SPREAD ** (index / (WORKERS - 1))),
+  slots: SLOTS,
+};
+
+type Figures = { p50ToIdeal: number; p99ToIdeal: number; wastedPerTask?: number };
+
+const compare = (
+  jobs: readonly BenchJob[],
+  responses: readonly number[],
+  ideal: readonly number[],
+): Figures => {
+  const counted = (values: readonly number[]) =>
+    values.filter((_, index) => (jobs[index]?.atMs ?? 0) >= WARM_UP_MS);
+  const ratio = (share: number) =>
+    quantile(counted(responses), share) / quantile(counted(ideal), share);
+  return { p50ToIdeal: ratio(0.5), p99ToIdeal: ratio(0.99) };
+};
+
+/** Runs the jobs on the real entries and agents in real time. */
+const runReal = async (
+  jobs: readonly BenchJob[],
+  place: Placement,
+): Promise<{ responses: number[]; wastedPerTask: number }> => {
+  const system = await LocalSystem.create({
+    entries: ENTRIES,
+    agents: WORKERS,
+    slots: SLOTS,
+    place,
+    run: async (agent, payload) => {
+      await sleep(Number(payload) * (fleet.slowness[agent] ?? 1));
+      return '';
+    },
+  });
+  const messagesBefore = system.messages;
+  const startedAt = performance.now();
+  const responses = await Promise.all(
+    jobs.map(async ({ atMs, sizesMs }, index) => {
+      await sleep(startedAt + atMs - performance.now());
+      const sentAt = performance.now();
+      const answer = await system.entries[index % ENTRIES]?.submit(
+        {
+          key: `job-${index}`,
+          team: BENCH_TEAM,
+          kind: BENCH_KIND,
+          tasks: sizesMs.map((size) => ({ payload: size })),
+          urgent: false,
+          deadlineMs: DEADLINE_MS,
+          notAfter: Date.now() + NOT_AFTER_MS,
+          idempotent: false,
+        },
+        true,
+      );
+      if (answer?.type !== 'complete') throw new Error(`job ${index}: ${JSON.stringify(answer)}`);
+      return performance.now() - sentAt;
+    }),
+  );
+  const tasks = jobs.reduce((sum, { sizesMs }) => sum + sizesMs.length, 0);
+  // A start and its result are the two messages that a task needs; half of the jobs arrive at the
+  // other entry, which costs two more a job.
+  const needed = 2 * tasks + 2 * jobs.length * (1 - 1 / ENTRIES);
+  const wastedPerTask = Math.max(0, system.messages - messagesBefore - needed) / tasks;
+  system.stop();
+  return { responses, wastedPerTask };
+};
+
+const round = (value: number): number => Math.round(value * 1_000) / 1_000;
+
+const rounded = (figures: Figures): Figures =>
+  Object.fromEntries(Object.entries(figures).map(([key, value]) => [key, round(value)])) as Figures;
+
+/**
+ * Compares placement policies with an omniscient scheduler on the same workers and arrivals: it
+ * knows every size and speed and binds each task, largest of its job first, where it ends first.
+ *
+ * @param seed - seed of the arrivals
+ * @returns figures by load and policy
+ */
+export const runPlacement = async (seed: number): Promise<Record<string, unknown>> => {
+  const loads: Record<string, Record<string, Figures>> = {};
+  for (let index = 0; index < LOADS.length; index += 1) {
+    const load = LOADS[index] ?? 0;
+    const jobs = drawJobs(seed, fleet, load, DURATION_MS);
+    const ideal = simulate(jobs, fleet, omniscient, true);
+    const figures: Record<string, Figures> = {};
+    Object.entries(createBaselines(createRandom(seed + 1))).forEach(([name, choose]) => {
+      figures[name] = rounded(compare(jobs, simulate(jobs, fleet, choose), ideal));
+    });
+    const ours = await runReal(jobs, placeFastest);
+    figures['ours'] = rounded({
+      ...compare(jobs, ours.responses, ideal),
+      wastedPerTask: ours.wastedPerTask,
+    });
+    const anyIdle = await runReal(jobs, createRandomPlacement(createRandom(seed + 2)));
+    figures['oursAnyIdleSlot'] = rounded({
+      ...compare(jobs, anyIdle.responses, ideal),
+      wastedPerTask: anyIdle.wastedPerTask,
+    });
+    loads[String(load)] = figures;
+  }
+  return { workers: WORKERS, slots: SLOTS, spread: SPREAD, durationMs: DURATION_MS, loads };
+};
--- a/marjorammast-app/src/local/Deployment.ts
+++ b/marjorammast-app/src/local/Deployment.ts
@@ -1,12 +1,11 @@
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
 import { mkdtempSync, openSync, writeFileSync } from 'node:fs';
-import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { sleep } from '@marjorammast/protocol';
 import { callEntry } from '../callEntry';
+import { findPort } from './findPort';
 
 /** Shape of a local deployment. */
 export type DeploymentSize = {
@@ -24,22 +23,15 @@
 /** One running program. */
 export type Program = { name: string; process: ChildProcess; http: string; dataCenter: string };
 
+/** Folder of the bundled programs, also when this module is run from its source. */
+const BUNDLES = join(__dirname, __filename.endsWith('.ts') ? '../../dist' : '.');
+
 const READY_TIMEOUT_MS = 20_000;
 
 const POLL_MS = 50;
 
 const EXIT_TIMEOUT_MS = 35_000;
 
-const findPort = (): Promise<number> =>
-  new Promise((resolve, reject) => {
-    const server = createServer();
-    server.once('error', reject);
-    server.listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as AddressInfo;
-      server.close(() => resolve(port));
-    });
-  });
-
 /** Programs of one deployment on this machine, each its own process. */
 export class Deployment {
   readonly entries: Program[] = [];
@@ -231,7 +223,7 @@
     const common = isDaemon ? { logLevel: this.size.logLevel ?? 'info' } : {};
     writeFileSync(file, JSON.stringify({ ...settings, ...common }, null, 2));
     const output = openSync(join(this.folder, `${name}.log`), 'a');
-    const child = spawn(process.execPath, [join(__dirname, `${program}.js`), file], {
+    const child = spawn(process.execPath, [join(BUNDLES, `${program}.js`), file], {
       stdio: ['ignore', output, output],
     });
     return { name, process: child, http, dataCenter };
