--- a/marjorammast-app/src/bench/control.ts
+++ b/marjorammast-app/src/bench/control.ts
@@ -5,13 +5,18 @@
 import { SAMPLE_ENVIRONMENT } from '../samples';
 import { fitSlope, valueAt } from './fitSlope';
 
-/** Agents in each step; a factor of 8 from first to last. */
-const AGENT_STEPS = [8, 16, 32, 64] as const;
+/** Agents in each step, most of them in one process; a factor of 8 from first to last. */
+const AGENT_STEPS = [107, 215, 430, 860] as const;
+
+/** Agents that are processes of their own, whose cost is measured. */
+const SINGLE_AGENTS = 4;
 
 /** Entries in the steps over agents, and in the step that shows the cost of an entry. */
 const ENTRIES = 3;
 const MORE_ENTRIES = 8;
-const AGENTS_WITH_MORE_ENTRIES = 16;
+const AGENTS_WITH_MORE_ENTRIES = 107;
+
+const SLOTS = 8;
 
 /** Size that the system has to carry. */
 const TARGET_AGENTS = 860;
@@ -113,9 +118,16 @@
 
 const measureStep = async (entries: number, agents: number): Promise<Step> => {
   const dataCenters = ['bangkok-north', 'ayutthaya'];
-  const size = { entries, agents, dataCenters, withTargets: false, logLevel: 'warn' };
+  const size = {
+    entries,
+    agents: SINGLE_AGENTS,
+    dataCenters,
+    withTargets: false,
+    logLevel: 'warn',
+  };
   const deployment = await Deployment.create(size, SAMPLE_ENVIRONMENT);
   try {
+    await deployment.startFleet(agents - SINGLE_AGENTS, SLOTS);
     await sleep(SETTLE_MS);
     const before = [await usagesOf(deployment.entries), await usagesOf(deployment.agents)] as const;
     const storeBefore = await storeCounts(deployment);
--- a/marjorammast-app/src/local/Deployment.ts
+++ b/marjorammast-app/src/local/Deployment.ts
@@ -28,6 +28,8 @@
 
 const READY_TIMEOUT_MS = 20_000;
 
+const FLEET_TIMEOUT_MS = 120_000;
+
 const POLL_MS = 50;
 
 const EXIT_TIMEOUT_MS = 35_000;
@@ -42,6 +44,8 @@
 
   store!: Program;
 
+  private fleet: Program | undefined;
+
   private readonly ports = new Map<string, number>();
 
   private constructor(
@@ -110,6 +114,24 @@
     return program;
   }
 
+  /** Starts a number of agents in one process and waits until every entry knows them all. */
+  async startFleet(count: number, slots: number): Promise<void> {
+    const entries = await Promise.all(
+      this.entries.map(({ name }) => this.addressOf(`${name}-rpc`)),
+    );
+    const settings = { count, dataCenters: this.size.dataCenters, entries, slots };
+    this.fleet = this.launch('agentFleet', 'fleet', '', '', settings);
+    await this.until(
+      `${count} agents connected`,
+      async () => {
+        const { body } = await callEntry(this.addresses[0] ?? '', 'GET', '/v1/entries');
+        const all = body['entries'] as { agents: number }[];
+        return all.every(({ agents }) => agents === count + this.agents.length);
+      },
+      FLEET_TIMEOUT_MS,
+    );
+  }
+
   /** Waits until a condition holds. */
   async until(
     what: string,
@@ -140,7 +162,13 @@
 
   /** Ends every program: gracefully, then by force. */
   async stop(): Promise<void> {
-    const programs = [...this.targets, ...this.agents, ...this.entries, this.store].filter(Boolean);
+    const programs = [
+      ...this.targets,
+      ...this.agents,
+      ...this.entries,
+      this.fleet,
+      this.store,
+    ].filter((program) => program !== undefined);
     programs.forEach(({ process: child }) => child.kill('SIGKILL'));
     await Promise.all(programs.map((program) => this.untilExit(program)));
   }
--- a/packages/entry/src/Dispatcher.ts
+++ b/packages/entry/src/Dispatcher.ts
@@ -185,7 +185,7 @@
       this.queue.ended(job.team);
       return;
     }
-    job.tasks[index] = { type: 'sent', agent: agent.name, incarnation: agent.incarnation };
+    job.setTask(index, { type: 'sent', agent: agent.name, incarnation: agent.incarnation });
     this.inFlight += 1;
     try {
       const answer = await this.host.agents.start(agent, credit, {
@@ -231,7 +231,7 @@
       this.requeue(job, index);
       return;
     }
-    job.tasks[index] = { type: 'finished', outcome };
+    job.setTask(index, { type: 'finished', outcome });
     this.host.conclude(job);
   }
 
@@ -240,7 +240,7 @@
     match(refusal)
       .with('duplicate', () => void this.resolve(job, index, agent))
       .with('staleEpoch', () => {
-        job.tasks[index] = { type: 'waiting' };
+        job.setTask(index, { type: 'waiting' });
         this.host.deposed(job.shard);
       })
       .with('configurationBehind', () => {
@@ -251,7 +251,7 @@
         this.requeue(job, index);
       })
       .with('expired', () => {
-        job.tasks[index] = { type: 'waiting' };
+        job.setTask(index, { type: 'waiting' });
         this.host.fail(job, failure('expired', job.verdict, 'notAfter or the deadline has passed'));
       })
       .with('staleCredit', () => this.requeue(job, index))
@@ -270,7 +270,7 @@
 
   /** Puts a task back after a true `notRun` for its only transmission. */
   private requeue(job: Job, index: number): void {
-    job.tasks[index] = { type: 'waiting' };
+    job.setTask(index, { type: 'waiting' });
     if (!job.isOpen) return;
     job.refusals += 1;
     if (job.refusals > MAX_REFUSALS_PER_TASK * job.tasks.length) {
--- a/packages/entry/src/Job.ts
+++ b/packages/entry/src/Job.ts
@@ -33,7 +33,12 @@
 export class Job {
   readonly shard: number;
 
-  tasks: TaskState[];
+  private readonly states: TaskState[];
+
+  private doneCount = 0;
+
+  /** First task that ended otherwise than done. */
+  private failedIndex: number | undefined;
 
   answer: Answer | undefined;
 
@@ -61,7 +66,7 @@
     deadlineAt: number,
   ) {
     this.shard = shardOf(id);
-    this.tasks = Array.from({ length: count }, () => ({ type: 'waiting' }));
+    this.states = Array.from({ length: count }, () => ({ type: 'waiting' }));
     this.deadlineAt = deadlineAt;
   }
 
@@ -105,6 +110,25 @@
     return new Job(id, digest, notAfter, tasks.length, submission, deadlineAt);
   }
 
+  /** State of each task, in order. */
+  get tasks(): readonly TaskState[] {
+    return this.states;
+  }
+
+  /**
+   * Changes the state of a task; a finished one stays as it is.
+   *
+   * @param index - the task
+   * @param state - its new state
+   */
+  setTask(index: number, state: TaskState): void {
+    if (this.states[index]?.type === 'finished') return;
+    this.states[index] = state;
+    if (state.type !== 'finished') return;
+    if (state.outcome.type === 'done') this.doneCount += 1;
+    else this.failedIndex ??= index;
+  }
+
   /** Indexes of the tasks that wait for a slot. */
   get waiting(): number[] {
     return [...this.tasks.keys()].filter((index) => this.tasks[index]?.type === 'waiting');
@@ -132,14 +156,14 @@
 
   /** The complete answer when every task is done, a failure when one failed, else nothing. */
   conclusion(): Answer | undefined {
-    const failed = this.tasks.findIndex(
-      (task) => task.type === 'finished' && task.outcome.type !== 'done',
-    );
-    if (failed >= 0) return { type: 'failed', failure: this.failureOfTask(failed) };
+    if (this.failedIndex !== undefined) {
+      return { type: 'failed', failure: this.failureOfTask(this.failedIndex) };
+    }
+    if (this.doneCount < this.tasks.length) return undefined;
     const results = this.tasks.flatMap((task) =>
       task.type === 'finished' && task.outcome.type === 'done' ? [task.outcome.result] : [],
     );
-    return results.length === this.tasks.length ? { type: 'complete', results } : undefined;
+    return { type: 'complete', results };
   }
 
   /**
--- a/packages/entry/src/JobController.ts
+++ b/packages/entry/src/JobController.ts
@@ -17,7 +17,7 @@
 import type { Log, Metrics, Timeline } from '@marjorammast/telemetry';
 import { RETRY_AFTER_MS } from './constants';
 import { Job } from './Job';
-import type { Reply } from './Job';
+import type { Reply, TaskState } from './Job';
 
 /** What an owner knows about a shard. */
 export type ShardState =
@@ -151,9 +151,10 @@
     const job = this.jobs.get(record.job) ?? this.keep(Job.fromRecord(record));
     const task = job.tasks[record.index];
     if (!task || task.type === 'finished') return undefined;
-    job.tasks[record.index] = record.outcome
+    const state: TaskState = record.outcome
       ? { type: 'finished', outcome: record.outcome }
       : { type: 'sent', agent, incarnation };
+    job.setTask(record.index, state);
     this.conclude(job);
     return record.outcome || job.answer ? undefined : job;
   }
@@ -173,8 +174,8 @@
     }
     state.tasks.forEach(({ index, agent, incarnation = '', outcome }) => {
       if (job.tasks[index]?.type !== 'waiting') return;
-      if (outcome) job.tasks[index] = { type: 'finished', outcome };
-      else if (agent) job.tasks[index] = { type: 'sent', agent, incarnation };
+      if (outcome) job.setTask(index, { type: 'finished', outcome });
+      else if (agent) job.setTask(index, { type: 'sent', agent, incarnation });
     });
     if (state.answer && !job.answer) this.answer(job, state.answer);
     this.conclude(job);
--- a/packages/entry/src/http/operatorRoutes.ts
+++ b/packages/entry/src/http/operatorRoutes.ts
@@ -73,6 +73,14 @@
   );
 };
 
+const statusOfEntries = async (entry: Entry): Promise<Record<string, unknown>[]> => {
+  const others = entry.cluster.others().map(async ({ name }) => {
+    const answer = await entry.cluster.call(name, 'status', {}).catch(() => undefined);
+    return answer ?? { entry: name, unreachable: true };
+  });
+  return [entry.status(), ...(await Promise.all(others))];
+};
+
 /**
  * Creates the routes for operators.
  *
@@ -96,20 +104,15 @@
       const { name, state } = context.req.param();
       return setDataCenter(context, entry, name, state === 'out' ? 'out' : 'in');
     })
+    .get('/entries', async (context) => context.json({ entries: await statusOfEntries(entry) }))
     .get('/status', async (context) => {
-      const entries = await Promise.all(
-        entry.cluster.others().map(async ({ name }) => {
-          const answer = await entry.cluster.call(name, 'status', {}).catch(() => undefined);
-          return answer ?? { entry: name, unreachable: true };
-        }),
-      );
       const agents = await Promise.all(
         entry.agents.list().map(async ({ name, link, isSuspected }) => {
           const answer = await link.call('status', {}, CALL_TIMEOUT_MS).catch(() => undefined);
           return answer ? { ...answer, isSuspected } : { agent: name, unreachable: true };
         }),
       );
-      return context.json({ entries: [entry.status(), ...entries], agents });
+      return context.json({ entries: await statusOfEntries(entry), agents });
     })
     .get('/timeline', async (context) => {
       const sinceMs = Number(context.req.query('sinceMs') ?? DEFAULT_TIMELINE_MS);
--- a/packages/protocol/src/constants.ts
+++ b/packages/protocol/src/constants.ts
@@ -29,7 +29,7 @@
 export const RECORD_RETENTION_MS = MAX_NOT_AFTER_MS + MAX_DEADLINE_MS + 2 * CLOCK_SKEW_MS;
 
 /** Time between two reads of the platform's store by one entry, in milliseconds. */
-export const STORE_POLL_MS = 500;
+export const STORE_POLL_MS = 1_000;
 
 /** Time between two exchanges of news with one peer, in milliseconds. */
 export const NEWS_PERIOD_MS = 1_000;
--- a/packages/protocol/src/tcp.ts
+++ b/packages/protocol/src/tcp.ts
@@ -19,6 +19,13 @@
   return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
 };
 
+/** Sends all messages of one turn of the event loop with one system call. */
+const batch = (socket: Socket): void => {
+  if (socket.writableCorked > 0) return;
+  socket.cork();
+  process.nextTick(() => socket.uncork());
+};
+
 const createLink = (name: string, socket: Socket, server: CallServer, traffic: Traffic): Link => {
   const link = Link.create(
     name,
@@ -30,6 +37,7 @@
         const line = `${JSON.stringify(message)}\n`;
         traffic.sentBytes += Buffer.byteLength(line);
         traffic.messages += 1;
+        batch(socket);
         socket.write(line);
       },
       close: () => socket.destroy(),
--- a/packages/store/src/etcdStore.ts
+++ b/packages/store/src/etcdStore.ts
@@ -4,7 +4,7 @@
 import type { Snapshot, Store } from './Store';
 
 /** Time allowed for one call to the store, in milliseconds. */
-const STORE_TIMEOUT_MS = 1_000;
+const STORE_TIMEOUT_MS = 800;
 
 /** Pause before a broken watch is opened again, in milliseconds. */
 const WATCH_RETRY_MS = 1_000;
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -9,6 +9,7 @@
   'bench',
   'storeStandIn',
   'targetStandIn',
+  'agentFleet',
 ];
 
 // Error messages are in English; the other languages of the schema library take memory.
