Cut an agent off together with its entry in isolation faults

Cause: with all freshness checks removed on a trial copy, no test failed: the agent beside the isolated entry still heard of the withdrawal from the others and refused by itself.

Change: the isolated group is one entry and one agent.

--- a/packages/proofs/tests/support/schedule.ts
+++ b/packages/proofs/tests/support/schedule.ts
@@ -98,14 +98,18 @@
   work: fc.array(work, { minLength: 4, maxLength: 10 }),
 });
 
+/** Cuts one entry, together with the first agent, off from everything else. */
 const isolate = (world: World, entry: string, isCut: boolean): void => {
-  const others = [...world.entries, ...world.agents.slice(1)].map(({ name }) => name);
-  others
-    .filter((name) => name !== entry)
-    .forEach((name) => {
-      world.network.cut(entry, name, isCut);
-      world.network.cut(name, entry, isCut);
+  const group = [entry, 'agent-0'];
+  const others = [...world.entries, ...world.agents]
+    .map(({ name }) => name)
+    .filter((name) => !group.includes(name));
+  group.forEach((inside) => {
+    others.forEach((outside) => {
+      world.network.cut(inside, outside, isCut);
+      world.network.cut(outside, inside, isCut);
     });
+  });
   world.network.cut(entry, 'store', isCut);
 };
 
