--- a/packages/entry/src/ClusterController.ts
+++ b/packages/entry/src/ClusterController.ts
@@ -1,8 +1,5 @@
-import { z } from 'zod';
 import {
-  CLOCK_SKEW_MS,
   CallError,
-  MAX_NOT_AFTER_MS,
   NEWS_PERIOD_MS,
   PEER_TIMEOUT_MS,
   STORE_POLL_MS,
@@ -30,6 +27,7 @@
 import { StoreError, swap } from '@marjorammast/store';
 import type { Snapshot, Store, StoredValue } from '@marjorammast/store';
 import type { Log, Timeline } from '@marjorammast/telemetry';
+import { AgentRegistry } from './AgentRegistry';
 import { AGENT_KEYS, BALANCE_PAUSE_MS, ENVIRONMENT_KEY, MAP_KEY } from './constants';
 import { freshnessAge } from './freshness';
 import type { PeerNews } from './freshness';
@@ -64,36 +62,17 @@
 /** Makes a value different from every other one, so that a lost reply can be settled. */
 export const withNonce = (value: object): string => JSON.stringify({ ...value, nonce: createId() });
 
-/** An agent process that may hold started-records. */
-export type RegisteredAgent = { name: string; incarnation: string };
-
-const agentProcessSchema = z.object({
-  incarnation: z.string(),
-  /** Wall-clock time at which a later process of the same agent was recorded. */
-  replacedAt: z.number().optional(),
-});
-
-const agentRecordSchema = z.object({ processes: z.array(agentProcessSchema) });
-
-type AgentProcess = z.infer<typeof agentProcessSchema>;
-
-/** True while a key that a replaced process may have started can still be submitted again. */
-const isRelevant = ({ replacedAt }: AgentProcess): boolean =>
-  replacedAt === undefined || Date.now() < replacedAt + MAX_NOT_AFTER_MS + 2 * CLOCK_SKEW_MS;
-
 /** Membership of the entries, ownership of shards, and how current this entry's knowledge is. */
 export class ClusterController {
   map: ClusterMap = emptyMap();
 
   mapRevision = 0;
 
-  /** Processes of each agent, newest first, as recorded in the store. */
-  private readonly registered = new Map<string, AgentProcess[]>();
+  /** The agents' processes. */
+  readonly registry: AgentRegistry;
 
   private readonly peers = new Map<string, Peer>();
 
-  private readonly agentRevisions = new Map<string, number>();
-
   /** Revision of the map in which this process first stood. */
   private joinRevision = Infinity;
 
@@ -113,7 +92,10 @@
 
   private endWatch: () => void = () => undefined;
 
-  private constructor(private readonly host: ClusterHost) {}
+  private constructor(private readonly host: ClusterHost) {
+    const { store, prefix } = host;
+    this.registry = AgentRegistry.create(store, `${prefix}${AGENT_KEYS}`, () => this.poll());
+  }
 
   /**
    * @param host - what the controller needs of the entry
@@ -262,36 +244,6 @@
     return this.polling;
   }
 
-  /**
-   * Records an agent in the store, so that a later owner knows whom to ask.
-   *
-   * @param name - name of the agent
-   * @param incarnation - its process
-   * @returns true when the record is there and the map was read after it
-   */
-  async register(name: string, incarnation: string): Promise<boolean> {
-    const isRecorded = () => this.registered.get(name)?.[0]?.incarnation === incarnation;
-    if (isRecorded()) return true;
-    if (!(await this.poll())) return false;
-    if (isRecorded()) return true;
-    // Earlier processes stay listed: their started-records are lost, which an owner must know.
-    const earlier = (this.registered.get(name) ?? [])
-      .map((process) => ({ replacedAt: Date.now(), ...process }))
-      .filter(isRelevant);
-    const value = JSON.stringify({ processes: [{ incarnation }, ...earlier] });
-    const key = `${this.host.prefix}${AGENT_KEYS}${name}`;
-    const written = await swap(this.host.store, key, this.agentRevisions.get(name) ?? 0, value);
-    await this.poll();
-    return written.type === 'written' && isRecorded();
-  }
-
-  /** Every agent process that may hold started-records. */
-  registeredAgents(): RegisteredAgent[] {
-    return [...this.registered].flatMap(([name, processes]) =>
-      processes.filter(isRelevant).map(({ incarnation }) => ({ name, incarnation })),
-    );
-  }
-
   /**
    * Takes a map that a peer has told.
    *
@@ -378,7 +330,7 @@
     const { prefix } = this.host;
     snapshot.values.forEach((value) => {
       const key = value.key.slice(prefix.length);
-      if (key.startsWith(AGENT_KEYS)) this.takeAgent(key.slice(AGENT_KEYS.length), value);
+      if (key.startsWith(AGENT_KEYS)) this.registry.take(key.slice(AGENT_KEYS.length), value);
       if (key === ENVIRONMENT_KEY) this.host.takeEnvironment(value);
     });
     const map = snapshot.values.find(({ key }) => key === `${prefix}${MAP_KEY}`);
@@ -389,13 +341,6 @@
     this.readRevision = Math.max(this.readRevision, snapshot.revision);
   }
 
-  private takeAgent(name: string, value: StoredValue): void {
-    if ((this.agentRevisions.get(name) ?? 0) >= value.revision) return;
-    const { processes } = agentRecordSchema.parse(JSON.parse(value.value));
-    this.agentRevisions.set(name, value.revision);
-    this.registered.set(name, processes);
-  }
-
   private isJoining = false;
 
   private async join(): Promise<void> {
--- a/packages/entry/src/Entry.ts
+++ b/packages/entry/src/Entry.ts
@@ -15,26 +15,26 @@
   JobState,
   Link,
   Member,
-  Params,
   Result,
   ShardClaim,
   SingleRequest,
   Submission,
-  TimelineEvent,
 } from '@marjorammast/protocol';
 import type { Store } from '@marjorammast/store';
-import { compareTimes } from '@marjorammast/telemetry';
 import type { Log, Metrics, Timeline } from '@marjorammast/telemetry';
 import { AgentController } from './AgentController';
 import type { ConnectedAgent } from './AgentController';
 import { ClusterController } from './ClusterController';
 import { SUPERVISION_MS } from './constants';
+import { CreditExchange } from './CreditExchange';
 import { Dispatcher } from './Dispatcher';
 import { EnvironmentController } from './EnvironmentController';
 import { Gateway } from './Gateway';
 import { Handover } from './Handover';
 import type { Job } from './Job';
 import { JobController } from './JobController';
+import { mergeTimelines } from './mergeTimelines';
+import type { MergedTimeline } from './mergeTimelines';
 import { Ownership } from './Ownership';
 import type { Placement } from './placement';
 
@@ -68,9 +68,6 @@
 /** What a caller can learn about a job by its key. */
 export type JobView = Result<'find'> | { type: 'unreachable'; owner: string };
 
-/** Events of all processes, and the processes that could not be asked. */
-export type MergedTimeline = { events: TimelineEvent[]; missing: string[] };
-
 /** One entry process: callers' jobs in, starts at agents out. */
 export class Entry {
   readonly member: Member;
@@ -91,6 +88,8 @@
 
   private readonly handover: Handover;
 
+  private readonly credits: CreditExchange;
+
   /** Answers the calls of all other processes. */
   readonly server: CallServer;
 
@@ -99,8 +98,6 @@
 
   private isDraining = false;
 
-  private creditTurn = 0;
-
   private timers: NodeJS.Timeout[] = [];
 
   private constructor(readonly parts: EntryParts) {
@@ -132,14 +129,14 @@
       slice: () => this.environment.slice,
       entries: () => this.cluster.map.members.map((member) => member.address),
       epochs: () => this.cluster.epochs(),
-      register: (agent, process) => this.cluster.register(agent, process),
+      register: (agent, process) => this.cluster.registry.register(agent, process),
       connected: (agent) => this.resumeTasks(agent),
       creditsArrived: () => this.dispatcher.schedule(),
       log,
       timeline,
     });
     this.ownership = Ownership.create({
-      registeredAgents: () => this.cluster.registeredAgents(),
+      registeredAgents: () => this.cluster.registry.list(),
       findAgent: (agent, process) => this.agents.find(agent, process),
       findRetired: (agent, process) => this.agents.retired.find(agent, process),
       takeRecords: (records, { name: agent, incarnation: process }) =>
@@ -164,6 +161,13 @@
     });
     this.gateway = this.createGateway();
     this.handover = this.createHandover();
+    this.credits = CreditExchange.create({
+      name,
+      agents: this.agents,
+      peers: () => this.cluster.others().map((member) => member.name),
+      askPeer: (peer, params) => this.cluster.call(peer, 'credits', params),
+      queuedTasks: () => this.dispatcher.queue.length,
+    });
     this.server = this.createServer();
   }
 
@@ -337,30 +341,17 @@
    * @param job - only events of this job
    * @returns the events in order
    */
-  async timeline(sinceMs: number, job?: string): Promise<MergedTimeline> {
-    const missing: string[] = [];
+  timeline(sinceMs: number, job?: string): Promise<MergedTimeline> {
     const query = { sinceMs, job };
-    const ask = async (
-      name: string,
-      call: () => Promise<Result<'events'>>,
-    ): Promise<TimelineEvent[]> => {
-      try {
-        return (await call()).events;
-      } catch {
-        missing.push(name);
-        return [];
-      }
-    };
-    const lists = await Promise.all([
-      ...this.cluster
-        .others()
-        .map(({ name }) => ask(name, () => this.cluster.call(name, 'events', query))),
-      ...this.agents
-        .list()
-        .map(({ name, link }) => ask(name, () => link.call('events', query, CALL_TIMEOUT_MS))),
-    ]);
-    const events = [...this.parts.timeline.select(sinceMs, job), ...lists.flat()];
-    return { events: events.sort((a, b) => compareTimes(a.time, b.time)), missing };
+    const peers = this.cluster.others().map(({ name }) => ({
+      name,
+      ask: async () => (await this.cluster.call(name, 'events', query)).events,
+    }));
+    const agents = this.agents.list().map(({ name, link }) => ({
+      name,
+      ask: async () => (await link.call('events', query, CALL_TIMEOUT_MS)).events,
+    }));
+    return mergeTimelines(this.parts.timeline.select(sinceMs, job), [...peers, ...agents]);
   }
 
   private createServer(): CallServer {
@@ -381,7 +372,7 @@
         owner: this.ownerOf(shardOf(id)) === this.member.name,
       }),
       adopt: (params) => this.handover.take(params),
-      credits: (params) => this.giveCredits(params),
+      credits: (params) => this.credits.give(params),
       confirm: () => this.confirm(),
       farewell: ({ from }) => {
         this.cluster.noteFarewell(from);
@@ -406,7 +397,7 @@
       epochOf: (shard) => this.ownership.epochOf(shard),
       conclude: (job) => this.jobs.conclude(job),
       fail: (job, reason) => this.jobs.fail(job, reason),
-      requestCredits: (want, pressure) => this.requestCredits(want, pressure),
+      requestCredits: (want, pressure) => this.credits.request(want, pressure),
       deposed: (shard) => {
         this.releaseShards([shard]);
         void this.cluster.poll();
@@ -566,35 +557,6 @@
     });
   }
 
-  private async requestCredits(want: number, pressure: number): Promise<number> {
-    const peers = this.cluster.others();
-    if (peers.length === 0) return 0;
-    this.creditTurn = (this.creditTurn + 1) % peers.length;
-    const peer = peers[this.creditTurn]?.name ?? '';
-    try {
-      const params = { from: this.member.name, want: Math.min(want, 512), pressure };
-      const { credits } = await this.cluster.call(peer, 'credits', params);
-      const usable = credits.filter(({ agent, incarnation }) =>
-        this.agents.find(agent, incarnation),
-      );
-      usable.forEach(({ agent, credit }) => this.agents.pool.add(agent, [credit]));
-      return usable.length;
-    } catch {
-      return 0;
-    }
-  }
-
-  private giveCredits({ want }: Params<'credits'>): Result<'credits'> {
-    const { pool } = this.agents;
-    const spare = this.dispatcher.queue.length > 0 ? 0 : Math.ceil(pool.size / 2);
-    const credits = pool.takeMany(Math.min(want, spare)).map(({ agent, credit }) => ({
-      agent,
-      incarnation: this.agents.find(agent)?.incarnation ?? '',
-      credit,
-    }));
-    return { credits };
-  }
-
   private expire(): void {
     this.jobs.expire();
     this.agents.expire();
--- a/packages/entry/src/Ownership.ts
+++ b/packages/entry/src/Ownership.ts
@@ -2,7 +2,7 @@
 import type { ShardClaim, StartRecord } from '@marjorammast/protocol';
 import type { Log, Timeline } from '@marjorammast/telemetry';
 import type { ConnectedAgent } from './AgentController';
-import type { RegisteredAgent } from './ClusterController';
+import type { RegisteredAgent } from './AgentRegistry';
 import { FENCE_RETRY_MS, FENCE_WAIT_MS } from './constants';
 import type { ShardState } from './JobController';
 
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,5 +1,7 @@
 export * from './AgentController';
+export * from './AgentRegistry';
 export * from './ClusterController';
+export * from './CreditExchange';
 export * from './CreditPool';
 export * from './Dispatcher';
 export * from './Entry';
@@ -11,5 +13,6 @@
 export * from './Job';
 export * from './JobController';
 export * from './Ownership';
+export * from './mergeTimelines';
 export * from './placement';
 export * from './SpeedEstimates';
