--- a/packages/entry/src/Entry.ts
+++ b/packages/entry/src/Entry.ts
@@ -1,6 +1,7 @@
 import { match } from 'ts-pattern';
 import {
   CALL_TIMEOUT_MS,
+  FRESHNESS_MS,
   MAX_NOT_AFTER_MS,
   failure,
   jobId,
@@ -155,6 +156,7 @@
       enqueue: (job, indexes) => this.dispatcher.enqueue(job, indexes),
       answered: (job) => this.dispatcher.drop(job),
       queuedTasks: () => this.dispatcher.queue.length,
+      isCurrent: () => this.cluster.age() <= FRESHNESS_MS,
       log,
       metrics,
       timeline,
--- a/packages/entry/src/JobController.ts
+++ b/packages/entry/src/JobController.ts
@@ -36,6 +36,8 @@
   /** The job is answered: waiting tasks are dropped and running ones cancelled. */
   answered: (job: Job) => void;
   queuedTasks: () => number;
+  /** False when another entry may own the shards without this one having heard of it. */
+  isCurrent: () => boolean;
   log: Log;
   metrics: Metrics;
   timeline: Timeline;
@@ -177,7 +179,8 @@
       if (outcome) job.setTask(index, { type: 'finished', outcome });
       else if (agent) job.setTask(index, { type: 'sent', agent, incarnation });
     });
-    if (state.answer && !job.answer) this.answer(job, state.answer);
+    const isStale = state.answer?.type === 'failed' && state.answer.failure.code === 'stale';
+    if (state.answer && !job.answer && !isStale) this.answer(job, state.answer);
     this.conclude(job);
     return job.answer ? undefined : job;
   }
@@ -303,6 +306,11 @@
   }
 
   private expireDeadline(job: Job): void {
+    if (job.submission && !this.host.isCurrent()) {
+      const detail = 'this entry is cut off, and another one may answer the job';
+      this.fail(job, failure('stale', joinVerdicts([job.verdict, 'mayHaveRun']), detail));
+      return;
+    }
     const code = job.submission ? 'deadlineExceeded' : 'ownerLost';
     const detail = job.submission
       ? `${job.finished} of ${job.tasks.length} tasks had ended at the deadline`
--- a/packages/proofs/tests/directed.test.ts
+++ b/packages/proofs/tests/directed.test.ts
@@ -79,6 +79,16 @@
       [...stream(0, 24, 700, 2_500), ...stream(1, 12, 700, 2_500)],
     ));
 
+  it('an owner that is cut off past a deadline does not answer for the next one', () =>
+    expectPromises(
+      [
+        fault('isolateEntry', 9_379, 6_990, 2),
+        fault('stopEntry', 12, 971, 0, 1),
+        fault('stopEntry', 4_973, 5_612, 3),
+      ],
+      [...stream(2, 44, 900, 3_018), ...stream(0, 20, 600, 2_000)],
+    ));
+
   it('two graceful stops in a row cut nothing', () =>
     expectPromises(
       [fault('stopEntry', 1_000, 200, 0), fault('stopEntry', 3_000, 200, 1)],
