--- a/marjorammast-app/src/bench/control.ts
+++ b/marjorammast-app/src/bench/control.ts
@@ -4,6 +4,8 @@
 import type { Program } from '../local/Deployment';
 import { SAMPLE_ENVIRONMENT } from '../samples';
 import { fitSlope, valueAt } from './fitSlope';
+import { BYTES_PER_MB, US_PER_S, usageOf } from './usage';
+import type { Usage } from './usage';
 
 /** Agents in each step, most of them in one process; a factor of 8 from first to last. */
 const AGENT_STEPS = [107, 215, 430, 860] as const;
@@ -28,18 +30,6 @@
 
 const CHANGES = 5;
 
-const US_PER_S = 1e6;
-
-const BYTES_PER_MB = 1024 * 1024;
-
-type Usage = {
-  sentBytes: number;
-  receivedBytes: number;
-  user: number;
-  system: number;
-  rssBytes: number;
-};
-
 /** Cost of one role, for each node. */
 type Cost = { rssMb: number; cpuPercent: number; bytesPerS: number };
 
@@ -55,9 +45,6 @@
   changeMs: number;
 };
 
-const usageOf = async ({ http }: Program): Promise<Usage> =>
-  (await callEntry(http, 'GET', '/health/usage')).body as unknown as Usage;
-
 const mean = (values: readonly number[]): number =>
   values.reduce((sum, value) => sum + value, 0) / values.length;
 
@@ -81,7 +68,7 @@
 };
 
 const usagesOf = (programs: readonly Program[]): Promise<Usage[]> =>
-  Promise.all(programs.map(usageOf));
+  Promise.all(programs.map(({ http }) => usageOf(http)));
 
 const storeCounts = async (deployment: Deployment): Promise<{ reads: number; writes: number }> =>
   (await callEntry(deployment.store.http, 'GET', '/faults')).body as never;
--- a/marjorammast-app/src/bench/path.ts
+++ b/marjorammast-app/src/bench/path.ts
@@ -1,6 +1,7 @@
 import { callEntry } from '../callEntry';
 import { Deployment } from '../local/Deployment';
 import { SAMPLE_ENVIRONMENT } from '../samples';
+import { BYTES_PER_MB, US_PER_S, usageOf } from './usage';
 import { quantile } from './workload';
 
 const AGENTS = 6;
@@ -18,15 +19,6 @@
 
 const TASK_MS = 5;
 
-const US_PER_S = 1e6;
-
-const BYTES_PER_MB = 1024 * 1024;
-
-type Usage = { user: number; system: number; rssBytes: number };
-
-const usageOf = async (address: string): Promise<Usage> =>
-  (await callEntry(address, 'GET', '/health/usage')).body as unknown as Usage;
-
 const timed = async (call: () => Promise<unknown>): Promise<number> => {
   const startedAt = performance.now();
   await call();
