Run the whole path on the new platform: entries, gates of workers, one folder of names

Cause: the platform has no machine for control, no disk, and speaks its own way. Ruled out on the way: the first run served nothing because the router of the worker's reports was never bound to its server (396 of 401 reports unanswered).

--- /dev/null
+++ b/marjorammast-app/src/dispatchEntry.ts
@@ -0,0 +1,63 @@
+import { DispatchEntry } from '@marjorammast/dispatch';
+import {
+  createClientHttp,
+  createPlatformStore,
+  createReadinessHttp,
+  decodeOperatorState,
+} from '@marjorammast/platform';
+import { decodeListing, dial } from '@marjorammast/protocol';
+import { dispatchSettingsSchema } from '@marjorammast/settings';
+import { StoreFeed } from '@marjorammast/store';
+import { createTextMetrics } from '@marjorammast/telemetry';
+import { createDaemonLog } from './createDaemonLog';
+import { serveHttp } from './serveHttp';
+import { serveMetrics } from './serveMetrics';
+import { loadSettings, stopOnSignal } from './settings';
+
+/** Longest wait of one watch of the store, in milliseconds. */
+const WATCH_MS = 4_000;
+
+/** Time in which the balancer notices that the entry is not ready, in milliseconds. */
+const NOTICE_MS = 2_500;
+
+const run = async (): Promise<void> => {
+  const settings = loadSettings('dispatchEntry', dispatchSettingsSchema);
+  const { name, dataCenter, clients, readiness, store, logLevel, stopTimeoutMs } = settings;
+  const log = createDaemonLog(name, logLevel);
+  const metrics = createTextMetrics();
+  const answers = metrics.histogram('marjorammast_job_ms', 'Time to answer a job', ['route', 'outcome']);
+  const traffic = { sentBytes: 0, receivedBytes: 0, messages: 0 };
+  const entry = DispatchEntry.create({
+    name,
+    dataCenter,
+    dial: (address, server) => dial(address, server, traffic),
+    random: Math.random,
+    log,
+    meter: { answered: (route, outcome, ms) => answers.observe({ route, outcome }, ms) },
+  });
+  metrics.gauge('marjorammast_open_jobs', 'Jobs without an answer', () => entry.openJobs);
+  metrics.gauge('marjorammast_queued_jobs', 'Jobs that wait', () => entry.dispatcher.queued);
+  metrics.gauge('marjorammast_runs', 'Runs not ended', () => entry.dispatcher.running);
+  metrics.gauge('marjorammast_agents', 'Agents attached', () => entry.attachedAgents);
+  const feed = StoreFeed.create({
+    store: createPlatformStore(store),
+    prefix: '',
+    waitMs: WATCH_MS,
+    changed: (items, revision) => {
+      entry.configure(decodeOperatorState(items, revision, log));
+      entry.listAgents([...items.values()].flatMap((item) => decodeListing(item.key, item.value) ?? []));
+    },
+    random: Math.random,
+    log,
+  });
+  await serveHttp(createReadinessHttp(entry), readiness);
+  await serveHttp(createClientHttp(entry, log), clients);
+  await serveMetrics(metrics, settings.metrics);
+  log.info({ clients, dataCenter, pid: process.pid }, 'started');
+  stopOnSignal(log, async () => {
+    await entry.stop(NOTICE_MS, stopTimeoutMs);
+    feed.stop();
+  });
+};
+
+void run();
--- /dev/null
+++ b/marjorammast-app/src/gateAgent.ts
@@ -0,0 +1,47 @@
+import { uptime } from 'node:os';
+import { GateAgent, announceAgent } from '@marjorammast/gate';
+import { createPlatformStore, createWorkerPort, serveWorker } from '@marjorammast/platform';
+import { listen } from '@marjorammast/protocol';
+import { gateSettingsSchema } from '@marjorammast/settings';
+import { createTextMetrics } from '@marjorammast/telemetry';
+import { createDaemonLog } from './createDaemonLog';
+import { serveMetrics } from './serveMetrics';
+import { loadSettings, parseAddress, stopOnSignal } from './settings';
+
+const MS_PER_S = 1_000;
+
+const run = async (): Promise<void> => {
+  const settings = loadSettings('gateAgent', gateSettingsSchema);
+  const { name, dataCenter, rpc, worker, workerReports, logLevel, stopTimeoutMs } = settings;
+  const log = createDaemonLog(name, logLevel);
+  const metrics = createTextMetrics();
+  const ends = metrics.histogram('marjorammast_run_ms', 'Time of a run', ['how']);
+  const assigned = metrics.counter('marjorammast_assigned', 'Runs by answer', ['answer']);
+  const agent = GateAgent.create({
+    name,
+    dataCenter,
+    port: createWorkerPort(worker, log),
+    clock: () => uptime() * MS_PER_S,
+    log,
+    meter: {
+      assigned: (taken, declined, reason) => {
+        assigned.inc({ answer: 'taken' }, taken);
+        if (declined > 0) assigned.inc({ answer: reason }, declined);
+      },
+      ended: (how, ms) => ends.observe({ how }, ms),
+    },
+  });
+  const traffic = { sentBytes: 0, receivedBytes: 0, messages: 0 };
+  const server = await listen(rpc, agent.server, traffic);
+  const { host, port } = parseAddress(workerReports);
+  await serveWorker(agent, host, port, log);
+  await serveMetrics(metrics, settings.metrics);
+  log.info({ rpc, worker, dataCenter, pid: process.pid }, 'started');
+  void announceAgent(createPlatformStore(settings.store), { name, address: rpc, dataCenter }, log);
+  stopOnSignal(log, async () => {
+    await agent.stop(stopTimeoutMs);
+    server.close();
+  });
+};
+
+void run();
--- a/marjorammast-app/src/serveHttp.ts
+++ b/marjorammast-app/src/serveHttp.ts
@@ -1,8 +1,10 @@
 import { serve } from '@hono/node-server';
 import type { ServerType } from '@hono/node-server';
-import type { Hono } from 'hono';
 import { parseAddress } from './settings';
 
+/** The routes of an HTTP server. */
+type Application = Pick<Parameters<typeof serve>[0], 'fetch'>;
+
 /**
  * Serves HTTP.
  *
@@ -10,7 +12,7 @@
  * @param address - host and port
  * @returns the server, once it listens
  */
-export const serveHttp = (app: Hono, address: string): Promise<ServerType> =>
+export const serveHttp = (app: Application, address: string): Promise<ServerType> =>
   new Promise((resolve, reject) => {
     const { host, port } = parseAddress(address);
     const server = serve({ fetch: app.fetch, hostname: host, port }, () => resolve(server));
--- /dev/null
+++ b/marjorammast-app/src/serveMetrics.ts
@@ -0,0 +1,25 @@
+import { createServer } from 'node:http';
+import type { Server } from 'node:http';
+import type { TextMetrics } from '@marjorammast/telemetry';
+import { parseAddress } from './settings';
+
+/**
+ * Serves metrics as text on any path.
+ *
+ * @param metrics - the metrics
+ * @param address - host and port
+ * @returns the server, once it listens
+ */
+export const serveMetrics = (metrics: TextMetrics, address: string): Promise<Server> =>
+  new Promise((resolve, reject) => {
+    const { host, port } = parseAddress(address);
+    const server = createServer((request, response) => {
+      request.resume();
+      metrics.render().then(
+        (text) => response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text),
+        (error: Error) => response.writeHead(500).end(error.message),
+      );
+    });
+    server.once('error', reject);
+    server.listen(port, host, () => resolve(server));
+  });
--- /dev/null
+++ b/packages/dispatch/src/index.ts
@@ -0,0 +1,4 @@
+export * from './DispatchEntry';
+export * from './job';
+export * from './operatorState';
+export * from './placeTasks';
--- /dev/null
+++ b/packages/gate/src/GateAgent.ts
@@ -0,0 +1,394 @@
+import {
+
+  countFitting,
+  createCallServer,
+  sleep,
+
+  taskKey,
+} from '@marjorammast/protocol';
+import type {
+  CallServer,
+  DeclineReason,
+  GateRules,
+  Link,
+  Params,
+  Resources,
+  Result,
+  RunEnd,
+  WorkerView,
+} from '@marjorammast/protocol';
+import type { Log } from '@marjorammast/telemetry';
+import {
+  ASSIGN_AGE_MS,
+  OWNER_CHECK_MS,
+  OWNER_SILENCE_MS,
+  SLOWNESS_WEIGHT,
+  VIEW_PERIOD_MS,
+} from './constants';
+import { WorkerHealth } from './WorkerHealth';
+import { WorkerLife } from './WorkerLife';
+import type { Run } from './WorkerLife';
+import type { WorkerPort, WorkerReport } from './WorkerPort';
+
+/** Counts and timings that an agent gives. */
+export type GateMeter = {
+  assigned: (taken: number, declined: number, reason: string) => void;
+  ended: (how: RunEnd, ms: number) => void;
+};
+
+/** What an agent is made of. */
+export type GateAgentParts = {
+  name: string;
+  dataCenter: string;
+  port: WorkerPort;
+  /** Clock that also counts time in which the VM was suspended, in milliseconds. */
+  clock: () => number;
+  log: Log;
+  meter: GateMeter;
+};
+
+type Owner = { link: Link; entry: string; heardAt: number; ends: Params<'ended'>['runs'] };
+
+type Assignment = Params<'assign'>;
+
+const NOTHING: Resources = { cpu: 0, memoryMb: 0, accelerators: 0 };
+
+/** The one gate through which tasks reach a worker. */
+export class GateAgent {
+  /** Answers the calls of entries. */
+  readonly server: CallServer;
+
+  private life: WorkerLife | undefined;
+
+  private health = this.createHealth();
+
+  private rules: GateRules = { revision: 0, outDataCenters: [] };
+
+  private readonly owners = new Map<Link, Owner>();
+
+  /** Logarithm of the learned slowness. */
+  private logSlowness = 0;
+
+  private isStopping = false;
+
+  private sentView = '';
+
+  private viewTimer: NodeJS.Timeout | undefined;
+
+  private readonly watchdog: NodeJS.Timeout;
+
+  private constructor(private readonly parts: GateAgentParts) {
+    this.server = this.createServer();
+    this.watchdog = setInterval(() => this.watchOwners(), OWNER_CHECK_MS);
+  }
+
+  /**
+   * @param parts - what the agent is made of
+   * @returns an agent without a worker
+   */
+  static create(parts: GateAgentParts): GateAgent {
+    return new GateAgent(parts);
+  }
+
+  /**
+   * Takes a report of the worker.
+   *
+   * @param report - the report
+   */
+  report(report: WorkerReport): void {
+    const { life } = this;
+    if (life?.identity.id === report.id && life.identity.born === report.born) {
+      life.update(report);
+      return;
+    }
+    // A report of a former life may arrive late.
+    if (life && report.born < life.identity.born) return;
+    this.beginLife(report);
+  }
+
+  /**
+   * Notes that the worker has signed off.
+   *
+   * @param id - the worker
+   */
+  signOff(id: string): void {
+    if (this.life?.identity.id === id) this.endLife('signed off');
+  }
+
+  /**
+   * Stops gracefully: takes nothing new and waits for the runs in progress.
+   *
+   * @param timeoutMs - longest time to wait, in milliseconds
+   */
+  async stop(timeoutMs: number): Promise<void> {
+    this.isStopping = true;
+    this.parts.log.info({ runs: this.life?.size ?? 0 }, 'stopping');
+    this.sendView();
+    const until = performance.now() + timeoutMs;
+    while ((this.life?.size ?? 0) > 0 && performance.now() < until) await sleep(VIEW_PERIOD_MS);
+    this.halt();
+  }
+
+  /** Ends at once. */
+  halt(): void {
+    clearInterval(this.watchdog);
+    clearTimeout(this.viewTimer);
+    this.owners.forEach(({ link }) => link.close());
+    this.endLife('agent stopped');
+  }
+
+  /** What the entries are told. */
+  get view(): WorkerView {
+    const { life } = this;
+    const reason = this.obstacle;
+    const soundness = this.health.soundness === 'sound' ? 'open' : 'trial';
+    return {
+      service: life?.latest.service ?? '',
+      labels: life?.latest.labels ?? [],
+      capacity: life?.latest.capacity ?? NOTHING,
+      free: life?.free ?? NOTHING,
+      state: reason ? 'closed' : soundness,
+      reason,
+      slowness: Number(Math.exp(this.logSlowness).toPrecision(2)),
+    };
+  }
+
+  private get obstacle(): string {
+    if (this.isStopping) return 'agent stopping';
+    if (!this.life) return 'no worker';
+    if (this.life.obstacle) return this.life.obstacle;
+    return this.health.soundness === 'ejected' ? 'ejected' : '';
+  }
+
+  private createHealth(): WorkerHealth {
+    return WorkerHealth.create(() => performance.now());
+  }
+
+  private beginLife(report: WorkerReport): void {
+    this.endLife('replaced');
+    this.health = this.createHealth();
+    const { id, born, service, capacity } = report;
+    this.parts.log.info({ worker: id, born, service, cpu: capacity.cpu }, 'worker_found');
+    this.life = WorkerLife.create(report, {
+      port: this.parts.port,
+      ended: (run, how) => this.noteEnd(run, how),
+      unhealthy: (run) => this.noteFailure(run, 'unhealthy'),
+      changed: () => this.scheduleView(),
+      replaced: () => this.endLife('another life answered'),
+      log: this.parts.log,
+    });
+    this.scheduleView();
+  }
+
+  private endLife(reason: string): void {
+    const { life } = this;
+    if (!life) return;
+    this.life = undefined;
+    const { id, born } = life.identity;
+    this.parts.log.info({ worker: id, born, reason, runs: life.size }, 'worker_ended');
+    life.end();
+    this.scheduleView();
+  }
+
+  private createServer(): CallServer {
+    return createCallServer({
+      attach: ({ entry, rules }, link) => this.attach(entry, rules, link),
+      assign: (assignment, link) => this.assign(assignment, link),
+      abandon: ({ jobs }) => {
+        this.abandon((run) => jobs.includes(run.task.job));
+        return {};
+      },
+      renew: (_, link) => {
+        this.hear(link);
+        return { clock: this.parts.clock() };
+      },
+      rules: (rules) => {
+        this.takeRules(rules);
+        return {};
+      },
+    });
+  }
+
+  private attach(entry: string, rules: GateRules, link: Link): Result<'attach'> {
+    this.owners.set(link, { link, entry, heardAt: performance.now(), ends: [] });
+    link.onClose(() => this.detach(link));
+    this.takeRules(rules);
+    this.parts.log.info({ entry, revision: rules.revision }, 'entry_attached');
+    const { name, dataCenter, clock } = this.parts;
+    return { agent: name, dataCenter, rules: this.rules, view: this.view, clock: clock() };
+  }
+
+  private detach(link: Link): void {
+    const owner = this.owners.get(link);
+    if (!owner) return;
+    this.owners.delete(link);
+    const count = this.abandon((run) => run.owner === link.name);
+    this.parts.log.info({ entry: owner.entry, stopped: count }, 'entry_detached');
+  }
+
+  private hear(link: Link): void {
+    const owner = this.owners.get(link);
+    if (owner) owner.heardAt = performance.now();
+  }
+
+  private takeRules(rules: GateRules): void {
+    if (rules.revision <= this.rules.revision) return;
+    this.rules = rules;
+    const { revision, outDataCenters } = rules;
+    this.parts.log.info({ revision, out: outDataCenters.join(',') }, 'rules_applied');
+    this.owners.forEach(({ link }) => link.notify('rules', rules));
+  }
+
+  private assign(assignment: Assignment, link: Link): Result<'assign'> {
+    this.hear(link);
+    const { reason, count } = this.admit(assignment, link);
+    const rows = assignment.runs.slice(0, count);
+    rows.forEach(([index, run]) => this.take(assignment, index, run, link));
+    const declined = assignment.runs.length - rows.length;
+    this.parts.meter.assigned(rows.length, declined, reason ?? '');
+    this.parts.log.info(
+      { job: assignment.job, taken: rows.length, declined, reason, entry: this.nameOf(link) },
+      'assigned',
+    );
+    this.scheduleView();
+    return {
+      taken: rows.map(([index]) => index),
+      reason: declined > 0 ? (reason ?? 'room') : undefined,
+      free: this.view.free,
+      clock: this.parts.clock(),
+    };
+  }
+
+  private nameOf(link: Link): string {
+    return this.owners.get(link)?.entry ?? link.name;
+  }
+
+  /** Decides how many of the runs may start, in their order. */
+  private admit(assignment: Assignment, link: Link): { count: number; reason?: DeclineReason } {
+    const { life } = this;
+    if (!life || this.obstacle || !this.owners.has(link)) return { count: 0, reason: 'closed' };
+    const age = this.parts.clock() - assignment.echo - assignment.heldMs;
+    if (age > ASSIGN_AGE_MS) return { count: 0, reason: 'stale' };
+    if (this.rules.outDataCenters.includes(this.parts.dataCenter)) {
+      return { count: 0, reason: 'dataCenterOut' };
+    }
+    const { latest } = life;
+    if (latest.service !== assignment.service) return { count: 0, reason: 'otherService' };
+    if (assignment.label && !latest.labels.includes(assignment.label)) {
+      return { count: 0, reason: 'missingLabel' };
+    }
+    if (assignment.runs.some(([index]) => this.isAtWork(assignment, index))) {
+      return { count: 0, reason: 'lowRun' };
+    }
+    return this.admitByRoom(life, assignment);
+  }
+
+  private admitByRoom(
+    life: WorkerLife,
+    { needs, runs, maxPerWorker, job, occurrence, step }: Assignment,
+  ): { count: number; reason?: DeclineReason } {
+    const room = countFitting(needs, life.free);
+    const isOfStep = ({ task }: Run) =>
+      task.job === job && task.occurrence === occurrence && task.step === step;
+    const limit = maxPerWorker > 0 ? maxPerWorker - life.select(isOfStep).length : Infinity;
+    const trial = this.health.soundness === 'trial' ? 1 - life.size : Infinity;
+    const count = Math.max(0, Math.min(runs.length, room, limit, trial));
+    return { count, reason: limit <= count && limit < runs.length ? 'workerLimit' : 'room' };
+  }
+
+  private isAtWork({ job, occurrence, step }: Assignment, index: number): boolean {
+    return this.life?.find({ job, occurrence, step, index }) !== undefined;
+  }
+
+  private take(assignment: Assignment, index: number, run: number, link: Link): void {
+    const { job, occurrence, step, needs, estimateMs, spec } = assignment;
+    const now = performance.now();
+    this.life?.take(
+      {
+        task: { job, occurrence, step, index },
+        run,
+        owner: link.name,
+        needs,
+        estimateMs,
+        takenAt: now,
+        state: 'starting',
+        stopAs: 'stopped',
+        percent: 0,
+        progressAt: now,
+      },
+      spec,
+    );
+  }
+
+  private abandon(isUnwanted: (run: Run) => boolean): number {
+    const runs = this.life?.select(isUnwanted) ?? [];
+    runs.forEach((run) => this.life?.stop(run));
+    return runs.length;
+  }
+
+  private noteEnd(run: Run, how: RunEnd): void {
+    const ms = performance.now() - run.takenAt;
+    this.parts.meter.ended(how, ms);
+    this.parts.log.info(
+      { task: taskKey(run.task), run: run.run, how, ms: Math.round(ms) },
+      'run_ended',
+    );
+    if (how === 'done') this.noteDone(run, ms);
+    if (how === 'failed' || how === 'stalled') this.noteFailure(run, how);
+    const owner = [...this.owners.values()].find(({ link }) => link.name === run.owner);
+    if (owner) this.queueEnd(owner, run, how, ms);
+    this.scheduleView();
+  }
+
+  private noteDone(run: Run, ms: number): void {
+    this.health.noteDone();
+    if (run.estimateMs <= 0) return;
+    const sample = Math.log(Math.max(ms, 1) / run.estimateMs);
+    this.logSlowness += SLOWNESS_WEIGHT * (sample - this.logSlowness);
+  }
+
+  private noteFailure(run: Run, how: string): void {
+    if (!this.health.noteFailure(run.task.job)) return;
+    this.parts.log.warn({ job: run.task.job, how }, 'worker_ejected');
+    this.scheduleView();
+  }
+
+  private queueEnd(owner: Owner, run: Run, how: RunEnd, ms: number): void {
+    if (owner.ends.length === 0) setImmediate(() => this.sendEnds(owner));
+    owner.ends.push([run.task.job, run.task.index, run.run, how, Math.round(ms)]);
+  }
+
+  private sendEnds(owner: Owner): void {
+    const runs = owner.ends;
+    owner.ends = [];
+    owner.link.notify('ended', { runs, free: this.view.free });
+  }
+
+  private scheduleView(): void {
+    this.viewTimer ??= setTimeout(() => this.sendView(), VIEW_PERIOD_MS);
+  }
+
+  private sendView(): void {
+    clearTimeout(this.viewTimer);
+    this.viewTimer = undefined;
+    const { view } = this;
+    const text = JSON.stringify(view);
+    if (text === this.sentView) return;
+    this.sentView = text;
+    this.owners.forEach(({ link }) => link.notify('view', view));
+  }
+
+  private watchOwners(): void {
+    // The view also changes by time, when an ejection ends.
+    this.scheduleView();
+    const before = performance.now() - OWNER_SILENCE_MS;
+    const owing = new Set(this.life?.select(() => true).map((run) => run.owner));
+    [...this.owners.values()]
+      .filter(({ link, heardAt }) => heardAt < before && owing.has(link.name))
+      .forEach(({ link, entry, heardAt }) => {
+        const silentMs = Math.round(performance.now() - heardAt);
+        this.parts.log.warn({ entry, silentMs }, 'entry_silent');
+        link.close();
+      });
+  }
+}
--- /dev/null
+++ b/packages/gate/src/WorkerLife.ts
@@ -0,0 +1,426 @@
+import { match } from 'ts-pattern';
+import { NO_RESOURCES, addResources, sleep, subtractResources, taskKey } from '@marjorammast/protocol';
+import type { Resources, RunEnd, TaskName } from '@marjorammast/protocol';
+import type { Log } from '@marjorammast/telemetry';
+import {
+  CLOCK_TOLERANCE,
+  ENDED_MEMORY_MS,
+  END_WAIT_MS,
+  LAPSE_SLACK_MS,
+  LEASE_MS,
+  MISSES_ALLOWED,
+  RENEW_PERIOD_MS,
+  SETTLE_PAUSE_MS,
+  STALL_MS,
+} from './constants';
+import type {
+  HoldAnswer,
+  ListedRun,
+  OrderAnswer,
+  RunList,
+  WorkerIdentity,
+  WorkerPort,
+  WorkerReport,
+} from './WorkerPort';
+
+/** One run of a task on the worker, from the moment its room is reserved. */
+export type Run = {
+  task: TaskName;
+  run: number;
+  /** Entry that asked for it. */
+  owner: string;
+  needs: Resources;
+  estimateMs: number;
+  takenAt: number;
+  state: 'starting' | 'running' | 'stopping';
+  /** How a stop that the agent orders is reported. */
+  stopAs: 'stopped' | 'stalled';
+  percent: number;
+  progressAt: number;
+};
+
+/** What a life of a worker tells its agent. */
+export type WorkerLifeHost = {
+  port: WorkerPort;
+  ended: (run: Run, how: RunEnd) => void;
+  /** The worker has turned a start away because it is not sound. */
+  unhealthy: (run: Run) => void;
+  /** Room or readiness has changed. */
+  changed: () => void;
+  /** Another life of the worker has answered. */
+  replaced: () => void;
+  log: Log;
+};
+
+/** One life of a worker: its runs, their lease, and the room that they take. */
+export class WorkerLife {
+  readonly identity: WorkerIdentity;
+
+  /** Grows with each life of the agent, since the worker's clock does. */
+  private readonly token: number;
+
+  private readonly runs = new Map<string, Run>();
+
+  private readonly recentEnds = new Map<string, { run: number; at: number }>();
+
+  private lastEnd = 0;
+
+  private workerClock: number;
+
+  private workerClockAt = performance.now();
+
+  /** Monotonic time at which every lease has certainly ended. */
+  private lapsedAt = 0;
+
+  private misses = 0;
+
+  /** False until a list shows only known runs: what else runs takes unknown room. */
+  private isClean = false;
+
+  private isOver = false;
+
+  private renewal: NodeJS.Timeout | undefined;
+
+  private constructor(
+    private report: WorkerReport,
+    private readonly host: WorkerLifeHost,
+  ) {
+    this.identity = { id: report.id, born: report.born };
+    this.token = Math.max(1, Math.floor(report.clock));
+    this.workerClock = report.clock;
+  }
+
+  /**
+   * @param report - first report of this life that the agent has received
+   * @param host - what the life tells its agent
+   * @returns a life whose runs are being listed
+   */
+  static create(report: WorkerReport, host: WorkerLifeHost): WorkerLife {
+    const life = new WorkerLife(report, host);
+    void life.watchEnds();
+    life.renewal = setInterval(() => void life.renew(), RENEW_PERIOD_MS);
+    return life;
+  }
+
+  /** Newest report of the worker. */
+  get latest(): WorkerReport {
+    return this.report;
+  }
+
+  /** Number of runs that take room. */
+  get size(): number {
+    return this.runs.size;
+  }
+
+  /** Why nothing may be started; empty when something may. */
+  get obstacle(): string {
+    if (this.isOver) return 'worker gone';
+    if (this.report.isLeaving) return 'worker leaving';
+    if (this.misses >= MISSES_ALLOWED) return 'worker silent';
+    if (!this.isClean) return 'runs unknown';
+    return '';
+  }
+
+  /** Room that no run takes. */
+  get free(): Resources {
+    const used = [...this.runs.values()].reduce(
+      (sum, { needs }) => addResources(sum, needs),
+      NO_RESOURCES,
+    );
+    return subtractResources(this.report.capacity, used);
+  }
+
+  /**
+   * Takes a newer report; older ones are ignored.
+   *
+   * @param report - report of the same life
+   */
+  update(report: WorkerReport): void {
+    if (report.sequence <= this.report.sequence) return;
+    this.report = report;
+    this.host.changed();
+  }
+
+  /**
+   * Finds the runs of one entry.
+   *
+   * @param isWanted - chooses runs
+   * @returns the chosen runs
+   */
+  select(isWanted: (run: Run) => boolean): Run[] {
+    return [...this.runs.values()].filter(isWanted);
+  }
+
+  /**
+   * Reserves room for a run and orders its start. The caller has checked that it fits.
+   *
+   * @param run - the run
+   * @param spec - what it does
+   */
+  take(run: Run, spec: string): void {
+    this.runs.set(taskKey(run.task), run);
+    void this.start(run, spec);
+  }
+
+  /**
+   * @param task - the task
+   * @returns its run that takes room, if there is one
+   */
+  find(task: TaskName): Run | undefined {
+    return this.runs.get(taskKey(task));
+  }
+
+  /**
+   * Stops a run; it takes room until the worker lists its end.
+   *
+   * @param run - the run
+   * @param as - how the end is reported
+   */
+  stop(run: Run, as: Run['stopAs'] = 'stopped'): void {
+    if (run.state === 'stopping') return;
+    const wasStarting = run.state === 'starting';
+    run.stopAs = as;
+    run.state = 'stopping';
+    // While the start is on its way, the stop follows its answer.
+    if (!wasStarting) void this.settle(run);
+  }
+
+  /** Ends the supervision: the worker is gone or a new life has begun. */
+  end(): void {
+    if (this.isOver) return;
+    this.isOver = true;
+    clearInterval(this.renewal);
+    [...this.runs.values()].forEach((run) => this.finish(run, 'lapsed'));
+    this.host.changed();
+  }
+
+  private get order(): { worker: WorkerIdentity; token: number } {
+    return { worker: this.identity, token: this.token };
+  }
+
+  /** Reads the worker's clock, never ahead of it by more than its own tolerance. */
+  private clockNow(): number {
+    return this.workerClock + (performance.now() - this.workerClockAt) / CLOCK_TOLERANCE;
+  }
+
+  private takeClock(clock: number | undefined): void {
+    this.misses = 0;
+    if (clock === undefined || clock < this.clockNow()) return;
+    this.workerClock = clock;
+    this.workerClockAt = performance.now();
+  }
+
+  /** End of a new lease on the worker's clock; notes when it has ended for certain. */
+  private extendLease(): number {
+    this.lapsedAt = performance.now() + LEASE_MS * CLOCK_TOLERANCE + LAPSE_SLACK_MS;
+    return Math.floor(this.clockNow() + LEASE_MS);
+  }
+
+  private async start(run: Run, spec: string): Promise<void> {
+    const { task } = run;
+    const answer = await this.host.port.start({
+      ...this.order,
+      task,
+      run: run.run,
+      spec,
+      leaseUntil: this.extendLease(),
+    });
+    if (!this.isCurrent(run)) return;
+    match(answer)
+      .with({ type: 'accepted' }, ({ clock }) => {
+        this.takeClock(clock);
+        if (run.state === 'stopping') void this.settle(run);
+        else run.state = 'running';
+      })
+      .with({ type: 'refused' }, ({ reason, clock }) => {
+        this.takeClock(clock);
+        this.host.log.warn({ task: taskKey(task), run: run.run, reason }, 'start_refused');
+        if (reason === 'otherLife') this.host.replaced();
+        else {
+          if (reason === 'unhealthy') this.host.unhealthy(run);
+          this.finish(run, 'notRun');
+        }
+      })
+      .with({ type: 'noAnswer' }, ({ detail }) => {
+        this.miss('start', detail);
+        this.host.log.warn({ task: taskKey(task), run: run.run, detail }, 'start_unanswered');
+        void this.settle(run);
+      })
+      .exhaustive();
+  }
+
+  /**
+   * Brings a run whose state is in doubt, or that is no longer wanted, to an end that the worker
+   * has listed or can no longer avoid.
+   */
+  private async settle(run: Run): Promise<void> {
+    run.state = 'stopping';
+    while (this.isCurrent(run)) {
+      const stopped = await this.host.port.stop({ ...this.order, task: run.task, run: run.run });
+      this.noteAnswer('stop', stopped);
+      const listed = this.isCurrent(run) ? await this.list() : undefined;
+      if (!this.isCurrent(run)) return;
+      // A stop that was carried out bars the start for good, and so does a higher or ended run.
+      const isBarred =
+        stopped.type === 'accepted' || (stopped.type === 'refused' && stopped.reason === 'lowRun');
+      if (isBarred && listed && !this.isListed(run, listed)) {
+        this.finish(run, 'notRun');
+        return;
+      }
+      await sleep(SETTLE_PAUSE_MS);
+    }
+  }
+
+  private isListed(run: Run, list: RunList): boolean {
+    return list.running.some((row) => taskKey(row.task) === taskKey(run.task) && row.run === run.run);
+  }
+
+  private isCurrent(run: Run): boolean {
+    return !this.isOver && this.runs.get(taskKey(run.task)) === run;
+  }
+
+  private async list(): Promise<RunList | undefined> {
+    const answer = await this.host.port.hold({ ...this.order, lastEnd: this.lastEnd, waitMs: 0 });
+    return this.absorb(answer);
+  }
+
+  private async renew(): Promise<void> {
+    this.lapseIfSilent();
+    this.expireMemory();
+    if (this.runs.size === 0) return;
+    const leaseUntil = this.extendLease();
+    const order = { ...this.order, lastEnd: this.lastEnd, leaseUntil, waitMs: 0 };
+    const list = this.absorb(await this.host.port.hold(order));
+    if (list) this.stopStalled();
+  }
+
+  private async watchEnds(): Promise<void> {
+    while (!this.isOver) {
+      const order = { ...this.order, lastEnd: this.lastEnd, waitMs: END_WAIT_MS };
+      const list = this.absorb(await this.host.port.hold(order));
+      if (!list && !this.isOver) await sleep(SETTLE_PAUSE_MS);
+    }
+  }
+
+  private absorb(answer: HoldAnswer): RunList | undefined {
+    if (this.isOver) return undefined;
+    return match(answer)
+      .with({ type: 'list' }, ({ list }) => {
+        if (list.born !== this.identity.born) {
+          this.host.replaced();
+          return undefined;
+        }
+        const wasSilent = this.misses >= MISSES_ALLOWED;
+        this.takeClock(list.clock);
+        list.ended.forEach((end) => this.takeEnd(end.number, end.task, end.run, end.how));
+        this.takeRunning(list.running);
+        if (wasSilent) this.host.changed();
+        return list;
+      })
+      .otherwise((failed) => {
+        this.noteAnswer('hold', failed);
+        return undefined;
+      });
+  }
+
+  private noteAnswer(call: string, answer: OrderAnswer): void {
+    match(answer)
+      .with({ type: 'accepted' }, ({ clock }) => this.takeClock(clock))
+      .with({ type: 'refused' }, ({ reason, clock }) => {
+        this.takeClock(clock);
+        this.host.log.warn({ call, reason }, 'order_refused');
+        if (reason === 'otherLife') this.host.replaced();
+      })
+      .with({ type: 'noAnswer' }, ({ detail }) => this.miss(call, detail))
+      .exhaustive();
+  }
+
+  private miss(call: string, detail: string): void {
+    this.misses += 1;
+    if (this.misses !== MISSES_ALLOWED) return;
+    this.host.log.warn({ call, detail, runs: this.runs.size }, 'worker_silent');
+    this.host.changed();
+  }
+
+  private takeEnd(number: number, task: TaskName, run: number, how: ListedRunEnd): void {
+    if (number <= this.lastEnd) return;
+    this.lastEnd = number;
+    const known = this.find(task);
+    if (!known || known.run !== run) return;
+    this.finish(known, how === 'stopped' ? known.stopAs : how);
+  }
+
+  private takeRunning(running: readonly ListedRun[]): void {
+    const orphans = running.filter((row) => !this.noteProgress(row) && !this.isRemembered(row));
+    orphans.forEach(({ task, run }) => {
+      this.host.log.warn({ task: taskKey(task), run }, 'orphan_stopped');
+      void this.host.port
+        .stop({ ...this.order, task, run })
+        .then((answer) => this.noteAnswer('stop', answer));
+    });
+    const isClean = orphans.length === 0;
+    if (isClean === this.isClean) return;
+    this.isClean = isClean;
+    this.host.changed();
+  }
+
+  private noteProgress({ task, run, percent }: ListedRun): boolean {
+    const known = this.find(task);
+    if (!known || known.run !== run) return false;
+    if (known.state === 'starting') known.state = 'running';
+    if (percent > known.percent) {
+      known.percent = percent;
+      known.progressAt = performance.now();
+    }
+    return true;
+  }
+
+  /** True for a run that has ended since the list was made on another connection. */
+  private isRemembered({ task, run }: ListedRun): boolean {
+    const ended = this.recentEnds.get(taskKey(task));
+    return ended !== undefined && run <= ended.run;
+  }
+
+  private stopStalled(): void {
+    const now = performance.now();
+    this.select((run) => run.state === 'running' && now - run.progressAt > this.patienceOf(run)).forEach(
+      (run) => {
+        const { percent, estimateMs } = run;
+        this.host.log.warn({ task: taskKey(run.task), run: run.run, percent, estimateMs }, 'run_stalled');
+        this.stop(run, 'stalled');
+      },
+    );
+  }
+
+  /** A run that works as estimated gains a percent several times in this span. */
+  private patienceOf({ estimateMs }: Run): number {
+    return Math.max(STALL_MS, estimateMs / 5);
+  }
+
+  /** Gives up runs whose lease has ended while the worker did not answer. */
+  private lapseIfSilent(): void {
+    if (this.misses < MISSES_ALLOWED || this.runs.size === 0) return;
+    if (performance.now() < this.lapsedAt) return;
+    // Only a clean list shows what the worker still runs.
+    this.isClean = false;
+    [...this.runs.values()].forEach((run) => this.finish(run, 'lapsed'));
+  }
+
+  private finish(run: Run, how: RunEnd): void {
+    const key = taskKey(run.task);
+    this.runs.delete(key);
+    this.recentEnds.set(key, { run: run.run, at: performance.now() });
+    this.host.ended(run, how);
+  }
+
+  private expireMemory(): void {
+    const before = performance.now() - ENDED_MEMORY_MS;
+    // Entries stand in order of insertion.
+    for (const [key, { at }] of this.recentEnds) {
+      if (at > before) return;
+      this.recentEnds.delete(key);
+    }
+  }
+}
+
+type ListedRunEnd = Extract<RunEnd, 'done' | 'failed' | 'stopped' | 'lapsed'>;
--- /dev/null
+++ b/packages/gate/src/index.ts
@@ -0,0 +1,5 @@
+export * from './announceAgent';
+export * from './GateAgent';
+export * from './WorkerHealth';
+export * from './WorkerLife';
+export * from './WorkerPort';
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -1,5 +1,6 @@
 import { z } from 'zod';
 import { clusterMapSchema } from './clusterMap';
+import { dispatchCallSchemas } from './dispatchMessages';
 import { releaseSchema, sliceSchema } from './environment';
 import { answerSchema, submissionSchema } from './job';
 
@@ -121,6 +122,7 @@
 
 /** Parameters and result of every call between two processes. */
 export const callSchemas = {
+  ...dispatchCallSchemas,
   /** Agent to entry, first call on a connection. */
   hello: {
     params: z.object({
--- a/packages/settings/src/daemonSettings.ts
+++ b/packages/settings/src/daemonSettings.ts
@@ -44,3 +44,33 @@
 export type EntrySettings = z.infer<typeof entrySettingsSchema>;
 /** Inferred from {@link agentSettingsSchema}. */
 export type AgentSettings = z.infer<typeof agentSettingsSchema>;
+
+const clusterDaemon = {
+  name: common.name,
+  dataCenter: common.dataCenter,
+  logLevel: common.logLevel,
+  rpc: address.describe('Address for other processes of the system.'),
+  metrics: address.describe('Address on which metrics are served as text.'),
+  store: address.describe("Address of the platform's store."),
+  stopTimeoutMs: common.stopTimeoutMs,
+};
+
+/** Settings of the entry that dispatches to gates. */
+export const dispatchSettingsSchema = z.strictObject({
+  ...clusterDaemon,
+  clients: address.describe('Address for clients.'),
+  readiness: address.describe('Address on which the balancer asks for readiness.'),
+  seeds: z.array(address).default([]).describe('RPC addresses of entries to ask at the start.'),
+});
+
+/** Settings of the agent that gates a worker. */
+export const gateSettingsSchema = z.strictObject({
+  ...clusterDaemon,
+  workerReports: address.describe('Address to which the worker reports.'),
+  worker: address.describe('Address at which the worker takes orders.'),
+});
+
+/** Inferred from {@link dispatchSettingsSchema}. */
+export type DispatchSettings = z.infer<typeof dispatchSettingsSchema>;
+/** Inferred from {@link gateSettingsSchema}. */
+export type GateSettings = z.infer<typeof gateSettingsSchema>;
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,3 +1,5 @@
 export * from './etcdStore';
 export * from './Store';
 export * from './swap';
+export * from './KeyValueStore';
+export * from './StoreFeed';
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,3 +1,5 @@
 export * from './log';
 export * from './metrics';
 export * from './Timeline';
+export * from './boundedOutput';
+export * from './textMetrics';
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,7 +1,11 @@
 // Bundles each program into one file, so that a daemon loads few modules and starts fast.
+// With an argument only the daemons of a deployment are built, into that folder.
 import { build } from 'esbuild';
 
+const DAEMONS = ['dispatchEntry', 'gateAgent'];
+
 const PROGRAMS = [
+  ...DAEMONS,
   'marjorammast',
   'entry',
   'agent',
@@ -22,9 +26,11 @@
   },
 };
 
+const [folder] = process.argv.slice(2);
+
 await build({
-  entryPoints: PROGRAMS.map((name) => `marjorammast-app/src/${name}.ts`),
-  outdir: 'marjorammast-app/dist',
+  entryPoints: (folder ? DAEMONS : PROGRAMS).map((name) => `marjorammast-app/src/${name}.ts`),
+  outdir: folder ?? 'marjorammast-app/dist',
   bundle: true,
   platform: 'node',
   target: 'node20',
