--- a/marjorammast-app/src/settings.ts
+++ b/marjorammast-app/src/settings.ts
@@ -57,6 +57,8 @@
       },
     );
   };
+  // The settings hold nothing that a running daemon changes.
+  process.on('SIGHUP', () => log.info({ signal: 'SIGHUP' }, 'settings_unchanged'));
   process.on('SIGTERM', handle);
   process.on('SIGINT', handle);
 };
--- a/packages/dispatch/src/ActiveJob.ts
+++ b/packages/dispatch/src/ActiveJob.ts
@@ -79,6 +79,11 @@
     return [...this.tasks.keys()].filter((index) => this.tasks[index]?.state.type === 'waiting');
   }
 
+  /** True when a run has started or may yet. */
+  get isTouched(): boolean {
+    return this.mayHaveRun || this.tasks.some(({ state }) => state.type === 'assigned');
+  }
+
   /** Names of the agents that have runs of the job. */
   get agents(): string[] {
     const names = this.tasks.flatMap(({ state }) =>
--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -312,8 +312,7 @@
   }
 
   private expire(job: ActiveJob): void {
-    const isTouched = job.mayHaveRun || job.agents.length > 0;
-    if (isTouched) job.settle({ type: 'unfinished', reason: 'deadline' });
+    if (job.isTouched) job.settle({ type: 'unfinished', reason: 'deadline' });
     else job.settle({ type: 'refused', reason: 'noRoom', retryAfterMs: MIN_RETRY_AFTER_MS });
   }
 
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -184,7 +184,7 @@
   ): void {
     const now = performance.now();
     const { step } = job;
-    if (!job.mayHaveRun && now + step.estimateMs * bestSlowness > job.deadlineAt) {
+    if (!job.isTouched && now + step.estimateMs * bestSlowness > job.deadlineAt) {
       const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, step.estimateMs);
       job.settle({ type: 'refused', reason: 'noRoom', retryAfterMs });
       return;
--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -47,7 +47,15 @@
   meter: GateMeter;
 };
 
-type Owner = { link: Link; entry: string; heardAt: number; ends: Params<'ended'>['runs'] };
+type Owner = {
+  link: Link;
+  entry: string;
+  heardAt: number;
+  /** Ends that are sent at the end of this turn of the event loop. */
+  ends: Params<'ended'>['runs'];
+  /** Was declined for want of room and is told of room at once. */
+  isShort: boolean;
+};
 
 type Assignment = Params<'assign'>;
 
@@ -210,7 +218,7 @@
   }
 
   private attach(entry: string, rules: GateRules, link: Link): Result<'attach'> {
-    this.owners.set(link, { link, entry, heardAt: performance.now(), ends: [] });
+    this.owners.set(link, { link, entry, heardAt: performance.now(), ends: [], isShort: false });
     link.onClose(() => this.detach(link));
     this.takeRules(rules);
     this.parts.log.info({ entry, revision: rules.revision }, 'entry_attached');
@@ -245,6 +253,8 @@
     const rows = assignment.runs.slice(0, count);
     rows.forEach(([index, run]) => this.take(assignment, index, run, link));
     const declined = assignment.runs.length - rows.length;
+    const owner = this.owners.get(link);
+    if (owner) owner.isShort = declined > 0;
     this.parts.meter.assigned(rows.length, declined, reason ?? '');
     this.parts.log.info(
       { job: assignment.job, taken: rows.length, declined, reason, entry: this.nameOf(link) },
@@ -337,6 +347,7 @@
     if (how === 'failed' || how === 'stalled') this.noteFailure(run, how);
     const owner = [...this.owners.values()].find(({ link }) => link.name === run.owner);
     if (owner) this.queueEnd(owner, run, how, ms);
+    this.tellShort();
     this.scheduleView();
   }
 
@@ -353,6 +364,17 @@
     this.scheduleView();
   }
 
+  /** Tells entries that lately found no room here that there is some. */
+  private tellShort(): void {
+    const short = [...this.owners.values()].filter(({ isShort }) => isShort);
+    if (short.length === 0) return;
+    const { view } = this;
+    short.forEach((owner) => {
+      owner.isShort = false;
+      owner.link.notify('view', view);
+    });
+  }
+
   private queueEnd(owner: Owner, run: Run, how: RunEnd, ms: number): void {
     if (owner.ends.length === 0) setImmediate(() => this.sendEnds(owner));
     owner.ends.push([run.task.job, run.task.index, run.run, how, Math.round(ms)]);
--- a/packages/gate/src/constants.ts
+++ b/packages/gate/src/constants.ts
@@ -32,7 +32,7 @@
 export const OWNER_CHECK_MS = 50;
 
 /** Shortest time between two views sent to the entries, in milliseconds. */
-export const VIEW_PERIOD_MS = 20;
+export const VIEW_PERIOD_MS = 100;
 
 /** Weight of the newest run in the learned slowness. */
 export const SLOWNESS_WEIGHT = 0.08;
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,2 +1,4 @@
 export * from './StoreStandIn';
 export * from './TargetStandIn';
+export * from './PlatformStoreStandIn';
+export * from './WorkerStandIn';
--- a/packages/telemetry/src/boundedOutput.ts
+++ b/packages/telemetry/src/boundedOutput.ts
@@ -8,6 +8,12 @@
 
 const WINDOW_MS = 1_000;
 
+/** Lines are written together, at the latest after this time, in milliseconds. */
+const FLUSH_PERIOD_MS = 100;
+
+/** Bytes that are written at once. */
+const BATCH_BYTES = 8_192;
+
 /** Output that never blocks the process and drops lines beyond its bounds. */
 export type BoundedOutput = {
   write: (line: string) => void;
@@ -23,7 +29,13 @@
  * @returns the output
  */
 export const createBoundedOutput = (): BoundedOutput => {
-  const stream = pino.destination({ dest: 1, sync: false, maxLength: MAX_WAITING_BYTES });
+  const stream = pino.destination({
+    dest: 1,
+    sync: false,
+    minLength: BATCH_BYTES,
+    maxLength: MAX_WAITING_BYTES,
+    periodicFlush: FLUSH_PERIOD_MS,
+  });
   let dropped = 0;
   let lines = 0;
   let windowStart = performance.now();
