Test entries, gates and workers in one process under generated faults

150 generated schedules and 11 directed ones under paused time: no task at work twice, room never exceeded, no partial answer, no false refusal.

--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -48,6 +48,8 @@
 };
 
 type Owner = {
+  /** Tells connections of one entry apart. */
+  id: string;
   link: Link;
   entry: string;
   heardAt: number;
@@ -74,6 +76,8 @@
 
   private readonly owners = new Map<Link, Owner>();
 
+  private ownerCount = 0;
+
   /** Logarithm of the learned slowness. */
   private logSlowness = 0;
 
@@ -218,7 +222,9 @@
   }
 
   private attach(entry: string, rules: GateRules, link: Link): Result<'attach'> {
-    this.owners.set(link, { link, entry, heardAt: performance.now(), ends: [], isShort: false });
+    this.ownerCount += 1;
+    const id = `${entry}#${this.ownerCount}`;
+    this.owners.set(link, { id, link, entry, heardAt: performance.now(), ends: [], isShort: false });
     link.onClose(() => this.detach(link));
     this.takeRules(rules);
     this.parts.log.info({ entry, revision: rules.revision }, 'entry_attached');
@@ -230,7 +236,7 @@
     const owner = this.owners.get(link);
     if (!owner) return;
     this.owners.delete(link);
-    const count = this.abandon((run) => run.owner === link.name);
+    const count = this.abandon((run) => run.owner === owner.id);
     this.parts.log.info({ entry: owner.entry, stopped: count }, 'entry_detached');
   }
 
@@ -317,7 +323,7 @@
       {
         task: { job, occurrence, step, index },
         run,
-        owner: link.name,
+        owner: this.owners.get(link)?.id ?? '',
         needs,
         estimateMs,
         takenAt: now,
@@ -345,7 +351,7 @@
     );
     if (how === 'done') this.noteDone(run, ms);
     if (how === 'failed' || how === 'stalled') this.noteFailure(run, how);
-    const owner = [...this.owners.values()].find(({ link }) => link.name === run.owner);
+    const owner = [...this.owners.values()].find(({ id }) => id === run.owner);
     if (owner) this.queueEnd(owner, run, how, ms);
     this.tellShort();
     this.scheduleView();
@@ -406,7 +412,7 @@
     const before = performance.now() - OWNER_SILENCE_MS;
     const owing = new Set(this.life?.select(() => true).map((run) => run.owner));
     [...this.owners.values()]
-      .filter(({ link, heardAt }) => heardAt < before && owing.has(link.name))
+      .filter(({ id, heardAt }) => heardAt < before && owing.has(id))
       .forEach(({ link, entry, heardAt }) => {
         const silentMs = Math.round(performance.now() - heardAt);
         this.parts.log.warn({ entry, silentMs }, 'entry_silent');
--- /dev/null
+++ b/packages/proofs/tests/dispatch.test.ts
@@ -0,0 +1,71 @@
+import fc from 'fast-check';
+import { checkDispatch } from './support/DispatchWorld';
+import { dispatchRun, playDispatch } from './support/dispatchSchedule';
+import type { DispatchFault, DispatchWork } from './support/dispatchSchedule';
+
+/** Schedules in this file; `FAULT_RUNS` asks for more. */
+const RUNS = Number(process.env['FAULT_RUNS'] ?? 150);
+
+const SEED = 52_001 + Number(process.env['FAULT_SEED'] ?? 0);
+
+const steady = (count: number, runMs: number): DispatchWork[] =>
+  Array.from({ length: count }, (_, index) => ({
+    atMs: index * 120,
+    entry: index % 2,
+    tasks: 3,
+    runMs,
+    fails: false,
+    leaveMs: undefined,
+  }));
+
+const at = (type: DispatchFault['type'], atMs: number, forMs: number, node = 0, other = 0) => ({
+  type,
+  atMs,
+  forMs,
+  node,
+  other,
+});
+
+describe('dispatch under faults', () => {
+  beforeEach(() => {
+    jest.useFakeTimers({ now: 1_800_000_000_000 });
+  });
+
+  afterEach(() => {
+    jest.useRealTimers();
+  });
+
+  it('answers every job of a calm day with success', async () => {
+    const world = await playDispatch({ seed: 1, faults: [], work: steady(20, 200) });
+    expect(checkDispatch(world)).toEqual([]);
+    expect(world.answers.map(({ outcome }) => outcome.type)).toEqual(Array(20).fill('completed'));
+  });
+
+  it.each([
+    ['killEntry', 800],
+    ['killAgent', 1_500],
+    ['freezeEntry', 1_200],
+    ['freezeAgent', 1_200],
+    ['cut', 1_500],
+    ['silent', 1_500],
+    ['answerLost', 1_500],
+    ['late', 1_500],
+    ['reborn', 10],
+    ['takeOut', 1_500],
+  ] as const)('keeps its promises under %s', async (type, forMs) => {
+    const faults = [at(type, 500, forMs), at(type, 2_600, forMs, 1, 1)];
+    const world = await playDispatch({ seed: 7, faults, work: steady(30, 250) });
+    expect(checkDispatch(world)).toEqual([]);
+    const done = world.answers.filter(({ outcome }) => outcome.type === 'completed');
+    expect(done.length).toBeGreaterThan(15);
+  });
+
+  it('keeps its promises in every generated schedule', async () => {
+    await fc.assert(
+      fc.asyncProperty(dispatchRun, async (run) => {
+        expect(checkDispatch(await playDispatch(run))).toEqual([]);
+      }),
+      { seed: SEED, numRuns: RUNS, endOnFailure: false },
+    );
+  }, 1_800_000);
+});
