--- a/packages/proofs/tests/dispatch.test.ts
+++ b/packages/proofs/tests/dispatch.test.ts
@@ -14,6 +14,7 @@
     entry: index % 2,
     tasks: 3,
     runMs,
+    cpu: 500,
     fails: false,
     leaveMs: undefined,
   }));
--- a/packages/proofs/tests/support/dispatchSchedule.ts
+++ b/packages/proofs/tests/support/dispatchSchedule.ts
@@ -27,6 +27,7 @@
   entry: number;
   tasks: number;
   runMs: number;
+  cpu: number;
   fails: boolean;
   leaveMs: number | undefined;
 };
@@ -60,7 +61,7 @@
     'takeOut',
   ),
   atMs: fc.integer({ min: 0, max: LENGTH_MS }),
-  forMs: fc.integer({ min: 30, max: 2_500 }),
+  forMs: fc.integer({ min: 30, max: 4_000 }),
   node: fc.nat({ max: AGENTS - 1 }),
   other: fc.nat({ max: ENTRIES - 1 }),
 });
@@ -69,7 +70,8 @@
   atMs: fc.integer({ min: 0, max: LENGTH_MS }),
   entry: fc.nat({ max: ENTRIES - 1 }),
   tasks: fc.integer({ min: 1, max: 6 }),
-  runMs: fc.integer({ min: 5, max: 900 }),
+  runMs: fc.integer({ min: 5, max: 3_000 }),
+  cpu: fc.integer({ min: 400, max: 1_500 }),
   fails: fc.boolean().map((flag) => flag),
   leaveMs: fc.option(fc.integer({ min: 5, max: 700 }), { nil: undefined, freq: 4 }),
 });
@@ -78,7 +80,7 @@
 export const dispatchRun: fc.Arbitrary<DispatchRun> = fc.record({
   seed: fc.integer({ min: 1, max: 1_000_000 }),
   faults: fc.array(fault, { maxLength: 6 }),
-  work: fc.array(work, { minLength: 3, maxLength: 25 }),
+  work: fc.array(work, { minLength: 3, maxLength: 40 }),
 });
 
 const apply = (world: DispatchWorld, { type, node, other }: DispatchFault, isOn: boolean): void => {
@@ -126,9 +128,9 @@
     setTimeout(() => apply(world, item, true), item.atMs);
     setTimeout(() => apply(world, item, false), item.atMs + item.forMs);
   });
-  run.work.forEach(({ atMs, entry, tasks, runMs, fails, leaveMs }, index) => {
+  run.work.forEach(({ atMs, entry, tasks, runMs, cpu, fails, leaveMs }, index) => {
     const id = (index + 1).toString(16).padStart(16, '0');
-    const job = { id, tasks, spec: { runMs, cpu: 500, fails: fails && index % 5 === 0 }, estimateMs: runMs };
+    const job = { id, tasks, spec: { runMs, cpu, fails: fails && index % 5 === 0 }, estimateMs: runMs };
     setTimeout(() => void world.send(job, entry, leaveMs), atMs);
   });
   const until = performance.now() + LENGTH_MS + SETTLE_MS;
--- a/packages/store/src/StoreFeed.ts
+++ b/packages/store/src/StoreFeed.ts
@@ -86,7 +86,9 @@
 
   private async followOnce(): Promise<void> {
     const { prefix, store, waitMs } = this.parts;
-    const changes = await store.follow(prefix, this.revision, waitMs);
+    // After a failure a short call shows soon that the store is back; a long one may hang in it.
+    const wait = this.failures > 0 ? 0 : waitMs;
+    const changes = await store.follow(prefix, this.revision, wait);
     if (!this.isRunning) return;
     if (changes.type === 'compacted') {
       this.parts.log.warn({ revision: this.revision }, 'store_history_lost');
