Follow a worker's slowness by its runs' progress, move runs off slow workers, list runs at once

Change: the first list does not wait; the estimate jumps when the runs of three jobs contradict it; runs are stopped where a new start elsewhere ends sooner; jobs are given up at three times their objective, and after a quarter of it when no worker is there.

--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -4,7 +4,15 @@
 import type { Log } from '@marjorammast/telemetry';
 import type { ActiveJob } from './ActiveJob';
 import type { AgentConnection } from './AgentConnection';
-import { DECLINE_PAUSE_MS, MIN_RETRY_AFTER_MS, QUEUE_CHECK_MS, RUN_LAPSE_MS } from './constants';
+import {
+  DECLINE_PAUSE_MS,
+  LATE_FACTOR,
+  MIN_RETRY_AFTER_MS,
+  NO_WORKERS_RETRY_MS,
+  QUEUE_CHECK_MS,
+  RUN_LAPSE_MS,
+} from './constants';
+import type { JobOutcome } from './job';
 import { placeTasks } from './placeTasks';
 import type { Candidate, Placement } from './placeTasks';
 
@@ -184,28 +192,46 @@
   ): void {
     const now = performance.now();
     const { step } = job;
-    if (!job.isTouched && now + step.estimateMs * bestSlowness > job.deadlineAt) {
-      const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, step.estimateMs);
-      job.settle({ type: 'refused', reason: 'noRoom', retryAfterMs });
+    const objectiveAt = objectiveOf(job, bestSlowness);
+    const refusal = job.isTouched ? undefined : this.refuse(job, connections, bestSlowness);
+    if (refusal) {
+      job.settle(refusal);
       return;
     }
-    const goal = {
-      estimateMs: step.estimateMs,
-      slackMs: objectiveOf(job, bestSlowness) - now,
-      bestSlowness,
-    };
+    const goal = { estimateMs: step.estimateMs, slackMs: objectiveAt - now, bestSlowness };
     this.groups(job).forEach(({ indexes, avoid }) => {
       const candidates = this.candidates(job, connections, avoid);
       const placements = placeTasks(candidates, { ...goal, count: indexes.length });
       let next = 0;
       placements.forEach((placement) => {
-        this.assign(job, placement, indexes.slice(next, next + placement.count));
+        this.assign(job, placement, indexes.slice(next, next + placement.count), bestSlowness);
         next += placement.count;
       });
     });
     if (job.waiting.length === 0) this.queue.delete(job);
   }
 
+  /** Gives up a job of which nothing was started and that can no longer be of use. */
+  private refuse(
+    job: ActiveJob,
+    connections: readonly AgentConnection[],
+    bestSlowness: number,
+  ): JobOutcome | undefined {
+    const now = performance.now();
+    const { step, route, arrivedAt, deadlineAt } = job;
+    const spanMs = objectiveOf(job, bestSlowness) - arrivedAt;
+    const lastStart = Math.min(deadlineAt, arrivedAt + LATE_FACTOR * spanMs) - step.estimateMs * bestSlowness;
+    if (now > lastStart) {
+      const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, step.estimateMs);
+      return { type: 'refused', reason: 'noRoom', retryAfterMs };
+    }
+    const hasWorkers = connections.some(
+      ({ view }) => view?.service === route.service && view.state !== 'closed',
+    );
+    if (hasWorkers || now < arrivedAt + spanMs / 4) return undefined;
+    return { type: 'refused', reason: 'noWorkers', retryAfterMs: NO_WORKERS_RETRY_MS };
+  }
+
   /** Waiting tasks, those that have failed somewhere one by one. */
   private groups(job: ActiveJob): { indexes: number[]; avoid: ReadonlySet<string> }[] {
     const { waiting } = job;
@@ -246,18 +272,24 @@
     return others.length > 0 ? others : usable;
   }
 
-  private assign(job: ActiveJob, { agent }: Placement, indexes: readonly number[]): void {
+  private assign(
+    job: ActiveJob,
+    { agent }: Placement,
+    indexes: readonly number[],
+    bestSlowness: number,
+  ): void {
     const connection = this.host.findConnection(agent);
     if (!connection) return;
     const runs = indexes.map((index): [number, number] => [index, job.assign(index, agent)]);
     runs.forEach(([index, run]) => this.remember(agent, { job, index, run }));
-    void this.send(job, connection, runs);
+    void this.send(job, connection, runs, bestSlowness);
   }
 
   private async send(
     job: ActiveJob,
     connection: AgentConnection,
     runs: [number, number][],
+    bestSlowness: number,
   ): Promise<void> {
     const { request, route, step } = job;
     const { name } = connection;
@@ -272,6 +304,7 @@
         label: step.label,
         maxPerWorker: step.maxPerWorker,
         estimateMs: step.estimateMs,
+        bestSlowness,
         runs,
       });
       if (taken.length > 0) job.mayHaveRun = true;
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -40,3 +40,9 @@
 
 /** How long before the client's deadline an unfinished job is answered, in milliseconds. */
 export const ANSWER_MARGIN_MS = 15;
+
+/** A job is of no use to its client after this many times its latency objective. */
+export const LATE_FACTOR = 3;
+
+/** When a client may come back that was refused for want of any worker, in milliseconds. */
+export const NO_WORKERS_RETRY_MS = 1_000;
--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -22,9 +22,9 @@
   ASSIGN_AGE_MS,
   OWNER_CHECK_MS,
   OWNER_SILENCE_MS,
-  SLOWNESS_WEIGHT,
   VIEW_PERIOD_MS,
 } from './constants';
+import { SlownessEstimate, findSlowRuns } from './SlownessEstimate';
 import { WorkerHealth } from './WorkerHealth';
 import { WorkerLife } from './WorkerLife';
 import type { Run } from './WorkerLife';
@@ -78,8 +78,7 @@
 
   private ownerCount = 0;
 
-  /** Logarithm of the learned slowness. */
-  private logSlowness = 0;
+  private slowness = SlownessEstimate.create();
 
   private isStopping = false;
 
@@ -161,7 +160,7 @@
       free: life?.free ?? NOTHING,
       state: reason ? 'closed' : soundness,
       reason,
-      slowness: Number(Math.exp(this.logSlowness).toPrecision(2)),
+      slowness: this.slowness.value,
     };
   }
 
@@ -179,6 +178,7 @@
   private beginLife(report: WorkerReport): void {
     this.endLife('replaced');
     this.health = this.createHealth();
+    this.slowness = SlownessEstimate.create();
     const { id, born, service, capacity } = report;
     this.parts.log.info({ worker: id, born, service, cpu: capacity.cpu }, 'worker_found');
     this.life = WorkerLife.create(report, {
@@ -186,6 +186,7 @@
       ended: (run, how) => this.noteEnd(run, how),
       unhealthy: (run) => this.noteFailure(run, 'unhealthy'),
       changed: () => this.scheduleView(),
+      findSlow: (runs) => this.findSlow(runs),
       replaced: () => this.endLife('another life answered'),
       log: this.parts.log,
     });
@@ -317,7 +318,7 @@
   }
 
   private take(assignment: Assignment, index: number, run: number, link: Link): void {
-    const { job, occurrence, step, needs, estimateMs, spec } = assignment;
+    const { job, occurrence, step, needs, estimateMs, bestSlowness, spec } = assignment;
     const now = performance.now();
     this.life?.take(
       {
@@ -326,6 +327,7 @@
         owner: this.owners.get(link)?.id ?? '',
         needs,
         estimateMs,
+        bestSlowness,
         takenAt: now,
         state: 'starting',
         stopAs: 'stopped',
@@ -359,9 +361,16 @@
 
   private noteDone(run: Run, ms: number): void {
     this.health.noteDone();
-    if (run.estimateMs <= 0) return;
-    const sample = Math.log(Math.max(ms, 1) / run.estimateMs);
-    this.logSlowness += SLOWNESS_WEIGHT * (sample - this.logSlowness);
+    this.slowness.noteDone(ms, run.estimateMs);
+  }
+
+  private findSlow(runs: readonly Run[]): Run[] {
+    const now = performance.now();
+    if (this.slowness.noteProgress(runs, now)) {
+      this.parts.log.warn({ slowness: this.slowness.value, runs: runs.length }, 'slowness_changed');
+      this.scheduleView();
+    }
+    return findSlowRuns(runs, this.slowness.value, now);
   }
 
   private noteFailure(run: Run, how: string): void {
--- /dev/null
+++ b/packages/gate/src/SlownessEstimate.ts
@@ -0,0 +1,93 @@
+import { SLOWNESS_WEIGHT } from './constants';
+import type { Run } from './WorkerLife';
+
+/** Age from which a run's progress says something, in milliseconds. */
+const MIN_AGE_MS = 100;
+
+/** Work that must have been watched before the estimate jumps, in milliseconds. */
+const MIN_WATCHED_MS = 800;
+
+/** Jobs whose runs must agree before the estimate jumps: one job's estimate may be far off. */
+const MIN_JOBS = 3;
+
+/** Factor between the watched and the learned slowness from which the estimate jumps. */
+const JUMP_FACTOR = 2;
+
+/** Factor to the fastest worker from which runs are moved away. */
+const MOVE_FACTOR = 2.5;
+
+/** Time that a move costs, in milliseconds. */
+const MOVE_COST_MS = 150;
+
+/** How much longer than a whole new run the rest must take before a run is moved. */
+const MOVE_MARGIN = 1.3;
+
+const watched = (runs: readonly Run[], now: number): Run[] =>
+  runs.filter(({ takenAt, estimateMs }) => now - takenAt >= MIN_AGE_MS && estimateMs > 0);
+
+/** Learns how long a worker takes for its runs, relative to the clients' estimates. */
+export class SlownessEstimate {
+  /** Logarithm of the slowness. */
+  private log = 0;
+
+  private constructor() {}
+
+  /** @returns the estimate for a worker of which nothing is known */
+  static create(): SlownessEstimate {
+    return new SlownessEstimate();
+  }
+
+  /** Run time over estimated run time, to two digits. */
+  get value(): number {
+    return Number(Math.exp(this.log).toPrecision(2));
+  }
+
+  /**
+   * Learns from a finished run.
+   *
+   * @param ms - its run time in milliseconds
+   * @param estimateMs - estimated run time in milliseconds
+   */
+  noteDone(ms: number, estimateMs: number): void {
+    if (estimateMs <= 0) return;
+    const sample = Math.log(Math.max(ms, 1) / estimateMs);
+    this.log += SLOWNESS_WEIGHT * (sample - this.log);
+  }
+
+  /**
+   * Jumps when the progress of the present runs contradicts what was learned.
+   *
+   * @param runs - runs at work
+   * @param now - monotonic time, in milliseconds
+   * @returns true when the estimate has jumped
+   */
+  noteProgress(runs: readonly Run[], now: number): boolean {
+    const seen = watched(runs, now);
+    if (new Set(seen.map(({ task }) => task.job)).size < MIN_JOBS) return false;
+    const watchedMs = seen.reduce((sum, { takenAt }) => sum + now - takenAt, 0);
+    if (watchedMs < MIN_WATCHED_MS) return false;
+    const doneMs = seen.reduce((sum, run) => sum + (run.percent / 100) * run.estimateMs, 0);
+    const current = watchedMs / Math.max(1, doneMs);
+    const factor = current / Math.exp(this.log);
+    if (factor < JUMP_FACTOR && factor > 1 / JUMP_FACTOR) return false;
+    this.log = Math.log(current);
+    return true;
+  }
+}
+
+/**
+ * Finds runs that would end sooner if they were begun anew on a fast worker.
+ *
+ * @param runs - runs at work
+ * @param slowness - slowness of this worker
+ * @param now - monotonic time, in milliseconds
+ * @returns the runs to move
+ */
+export const findSlowRuns = (runs: readonly Run[], slowness: number, now: number): Run[] =>
+  watched(runs, now).filter(({ takenAt, percent, bestSlowness }) => {
+    if (slowness < bestSlowness * MOVE_FACTOR || percent < 1) return false;
+    const wholeMs = ((now - takenAt) * 100) / percent;
+    const leftMs = wholeMs - (now - takenAt);
+    const elsewhereMs = (wholeMs * bestSlowness) / slowness;
+    return leftMs > MOVE_MARGIN * elsewhereMs + MOVE_COST_MS;
+  });
--- a/packages/gate/src/WorkerLife.ts
+++ b/packages/gate/src/WorkerLife.ts
@@ -31,6 +31,8 @@
   owner: string;
   needs: Resources;
   estimateMs: number;
+  /** Slowness of the fastest worker when the run was taken. */
+  bestSlowness: number;
   takenAt: number;
   state: 'starting' | 'running' | 'stopping';
   /** How a stop that the agent orders is reported. */
@@ -47,6 +49,8 @@
   unhealthy: (run: Run) => void;
   /** Room or readiness has changed. */
   changed: () => void;
+  /** Progress was listed; gives the runs that are too slow here. */
+  findSlow: (runs: readonly Run[]) => Run[];
   /** Another life of the worker has answered. */
   replaced: () => void;
   log: Log;
@@ -291,14 +295,16 @@
     const leaseUntil = this.extendLease();
     const order = { ...this.order, lastEnd: this.lastEnd, leaseUntil, waitMs: 0 };
     const list = this.absorb(await this.host.port.hold(order));
-    if (list) this.stopStalled();
+    if (list) this.reviewProgress();
   }
 
   private async watchEnds(): Promise<void> {
     while (!this.isOver) {
-      const order = { ...this.order, lastEnd: this.lastEnd, waitMs: END_WAIT_MS };
+      // Until all runs are known the list is wanted at once.
+      const waitMs = this.isClean ? END_WAIT_MS : 0;
+      const order = { ...this.order, lastEnd: this.lastEnd, waitMs };
       const list = this.absorb(await this.host.port.hold(order));
-      if (!list && !this.isOver) await sleep(SETTLE_PAUSE_MS);
+      if ((!list || !this.isClean) && !this.isOver) await sleep(SETTLE_PAUSE_MS);
     }
   }
 
@@ -381,15 +387,19 @@
     return ended !== undefined && run <= ended.run;
   }
 
-  private stopStalled(): void {
+  private reviewProgress(): void {
     const now = performance.now();
-    this.select((run) => run.state === 'running' && now - run.progressAt > this.patienceOf(run)).forEach(
-      (run) => {
-        const { percent, estimateMs } = run;
-        this.host.log.warn({ task: taskKey(run.task), run: run.run, percent, estimateMs }, 'run_stalled');
-        this.stop(run, 'stalled');
-      },
-    );
+    const running = this.select((run) => run.state === 'running');
+    const stuck = running.filter((run) => now - run.progressAt > this.patienceOf(run));
+    new Set([...stuck, ...this.host.findSlow(running)]).forEach((run) => {
+      const { percent, estimateMs, takenAt } = run;
+      const ms = Math.round(now - takenAt);
+      this.host.log.warn(
+        { task: taskKey(run.task), run: run.run, percent, estimateMs, ms },
+        'run_stalled',
+      );
+      this.stop(run, 'stalled');
+    });
   }
 
   /** A run that works as estimated gains a percent several times in this span. */
--- a/packages/gate/src/index.ts
+++ b/packages/gate/src/index.ts
@@ -1,5 +1,6 @@
 export * from './announceAgent';
 export * from './GateAgent';
+export * from './SlownessEstimate';
 export * from './WorkerHealth';
 export * from './WorkerLife';
 export * from './WorkerPort';
--- a/packages/protocol/src/dispatchMessages.ts
+++ b/packages/protocol/src/dispatchMessages.ts
@@ -39,7 +39,7 @@
 
 /**
  * How a run ended: `notRun` never began; `lapsed` may have run in part and runs no more;
- * `stalled` was stopped because it made no progress.
+ * `stalled` was stopped because it made too little progress.
  */
 export const runEndSchema = z.enum(['done', 'failed', 'stopped', 'stalled', 'lapsed', 'notRun']);
 
@@ -77,6 +77,8 @@
       /** Most tasks of the step that one worker runs at a time; 0 for no limit. */
       maxPerWorker: count,
       estimateMs: z.number().nonnegative(),
+      /** Slowness of the fastest worker that the entry knows. */
+      bestSlowness: z.number().positive(),
       /** Rows of the task's index and the number of this run. */
       runs: z.array(z.tuple([count, count])),
       /** Newest reading of the agent's clock that the entry has received. */
