--- a/marjorammast-app/src/bench/LocalSystem.ts
+++ b/marjorammast-app/src/bench/LocalSystem.ts
@@ -7,7 +7,7 @@
 import { StoreStandIn, createStoreHttp } from '@marjorammast/standins';
 import { createEtcdStore } from '@marjorammast/store';
 import { Timeline, createLog, createMetrics } from '@marjorammast/telemetry';
-import { findPort } from '../local/findPort';
+import { localPorts } from '../local/PortBlock';
 import { serveHttp } from '../serveHttp';
 
 /** Shape of a system in one process, over loopback. */
@@ -82,7 +82,7 @@
   }
 
   private async startEntry(index: number, store: string): Promise<string> {
-    const address = `127.0.0.1:${await findPort()}`;
+    const address = `127.0.0.1:${await localPorts.next()}`;
     const name = `entry-${index}`;
     const entry = Entry.create({
       name,
--- a/marjorammast-app/src/local/Deployment.ts
+++ b/marjorammast-app/src/local/Deployment.ts
@@ -5,7 +5,7 @@
 import { join } from 'node:path';
 import { sleep } from '@marjorammast/protocol';
 import { callEntry } from '../callEntry';
-import { findPort } from './findPort';
+import { localPorts } from './PortBlock';
 
 /** Shape of a local deployment. */
 export type DeploymentSize = {
@@ -234,7 +234,7 @@
   }
 
   private async addressOf(name: string): Promise<string> {
-    const port = this.ports.get(name) ?? (await findPort());
+    const port = this.ports.get(name) ?? (await localPorts.next());
     this.ports.set(name, port);
     return `127.0.0.1:${port}`;
   }
