Test the daemons as processes against stand-ins of the platform; lint and format the new code

11 tests: calm, failed task, refusals, malformed bodies, configuration, evacuation, store down with SIGHUP, SIGTERM of entry and agent, SIGKILL of an agent, a frozen entry; no task at work twice and no worker over its room after each.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,7 @@
 import prettier from 'eslint-config-prettier';
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**', '**/coverage/**'] },
+  { ignores: ['**/dist/**', 'target/**', 'journal/**', '**/node_modules/**', '**/coverage/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/jest.config.mjs
+++ b/jest.config.mjs
@@ -1,6 +1,10 @@
 export default {
   testEnvironment: 'node',
-  testMatch: ['<rootDir>/packages/**/*.test.ts', '<rootDir>/platform/**/*.test.ts', '<rootDir>/marjorammast-app/**/*.test.ts'],
+  testMatch: [
+    '<rootDir>/packages/**/*.test.ts',
+    '<rootDir>/platform/**/*.test.ts',
+    '<rootDir>/marjorammast-app/**/*.test.ts',
+  ],
   transform: {
     '^.+\\.(t|j|m)s$': [
       '@swc/jest',
--- a/marjorammast-app/src/dispatchEntry.ts
+++ b/marjorammast-app/src/dispatchEntry.ts
@@ -25,7 +25,10 @@
   const { name, dataCenter, clients, readiness, store, logLevel, stopTimeoutMs } = settings;
   const log = createDaemonLog(name, logLevel);
   const metrics = createTextMetrics();
-  const answers = metrics.histogram('marjorammast_job_ms', 'Time to answer a job', ['route', 'outcome']);
+  const answers = metrics.histogram('marjorammast_job_ms', 'Time to answer a job', [
+    'route',
+    'outcome',
+  ]);
   const traffic = { sentBytes: 0, receivedBytes: 0, messages: 0 };
   const entry = DispatchEntry.create({
     name,
@@ -39,13 +42,16 @@
   metrics.gauge('marjorammast_queued_jobs', 'Jobs that wait', () => entry.dispatcher.queued);
   metrics.gauge('marjorammast_runs', 'Runs not ended', () => entry.dispatcher.running);
   metrics.gauge('marjorammast_agents', 'Agents attached', () => entry.attachedAgents);
+  metrics.gauge('marjorammast_open_workers', 'Workers that take work', () => entry.openWorkers);
   const feed = StoreFeed.create({
     store: createPlatformStore(store),
     prefix: '',
     waitMs: WATCH_MS,
     changed: (items, revision) => {
       entry.configure(decodeOperatorState(items, revision, log));
-      entry.listAgents([...items.values()].flatMap((item) => decodeListing(item.key, item.value) ?? []));
+      entry.listAgents(
+        [...items.values()].flatMap((item) => decodeListing(item.key, item.value) ?? []),
+      );
     },
     random: Math.random,
     log,
--- a/marjorammast-app/src/serveMetrics.ts
+++ b/marjorammast-app/src/serveMetrics.ts
@@ -16,7 +16,8 @@
     const server = createServer((request, response) => {
       request.resume();
       metrics.render().then(
-        (text) => response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text),
+        (text) =>
+          response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text),
         (error: Error) => response.writeHead(500).end(error.message),
       );
     });
--- /dev/null
+++ b/marjorammast-app/tests/dispatchProcesses.test.ts
@@ -0,0 +1,175 @@
+import { readFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { sleep } from '@marjorammast/protocol';
+import { DispatchDeployment } from '../src/local/DispatchDeployment';
+import type { ClientAnswer } from '../src/local/DispatchDeployment';
+
+const idOf = (number: number): string => number.toString(16).padStart(16, '0');
+
+/** Pairs of runs of one task that were at work at the same time. */
+const overlaps = (deployment: DispatchDeployment): string[] => {
+  const events = deployment.workers.flatMap((worker) => worker.events).sort((a, b) => a.at - b.at);
+  const open = new Map<string, number>();
+  return events.flatMap(({ task, what }) => {
+    const count = (open.get(task) ?? 0) + (what === 'start' ? 1 : -1);
+    open.set(task, count);
+    return count > 1 ? [task] : [];
+  });
+};
+
+describe('entries and agents as processes', () => {
+  let deployment: DispatchDeployment;
+  let nextId = 1;
+
+  const submit = (entry: number, tasks: number, runMs: number, cpu = 500) => {
+    nextId += 1;
+    return deployment.submit(entry, idOf(nextId), tasks, { runMs, cpu });
+  };
+
+  beforeAll(async () => {
+    deployment = await DispatchDeployment.create(2, 3);
+  });
+
+  afterAll(() => deployment.stop());
+
+  afterEach(() => {
+    expect(overlaps(deployment)).toEqual([]);
+    expect(deployment.workers.flatMap((worker) => worker.overloads)).toEqual([]);
+  });
+
+  it('answer jobs with success, also when more wait than fit', async () => {
+    const answers = await Promise.all(
+      Array.from({ length: 20 }, (_, index) => submit(index % 2, 4, 60)),
+    );
+    expect(answers.map(({ status }) => status)).toEqual(Array(20).fill(200));
+    expect(answers.map(({ body }) => body)).toEqual(Array(20).fill({ state: 'completed' }));
+  });
+
+  it('answer a job whose task fails as often as its queue allows as failed', async () => {
+    nextId += 1;
+    const answer = await deployment.submit(0, idOf(nextId), 1, {
+      runMs: 20,
+      cpu: 500,
+      fails: true,
+    });
+    expect(answer).toMatchObject({ status: 200, body: { state: 'failed' } });
+    const runs = deployment.workers
+      .flatMap(({ events }) => events)
+      .filter(({ task, what }) => task.startsWith(idOf(nextId)) && what === 'failed');
+    expect(runs).toHaveLength(2);
+  });
+
+  it('refuse what is not served yet, with a time to come back', async () => {
+    nextId += 1;
+    const answer = await deployment.submit(
+      0,
+      idOf(nextId),
+      1,
+      { runMs: 20, cpu: 500 },
+      {
+        best_effort: false,
+      },
+    );
+    expect(answer).toMatchObject({ status: 503, body: { error: 'notSupported' } });
+    expect(answer.headers['retry-after']).toBeDefined();
+  });
+
+  it('answer 404 for a queue and 400 for a body that they cannot read', async () => {
+    const unknown = await deployment.call('entry-0-clients', 'POST', `/other/${idOf(1)}`, {});
+    expect(unknown.status).toBe(404);
+    const malformed = await deployment.call('entry-0-clients', 'POST', `/claims/${idOf(1)}`, {});
+    expect(malformed).toMatchObject({
+      status: 400,
+      body: { error: expect.stringContaining('steps') },
+    });
+  });
+
+  it('apply a new configuration without a restart, and keep the last one that can be read', async () => {
+    const probe = () => deployment.call('entry-1-clients', 'GET', '/new/');
+    const route = {
+      name: 'new',
+      host: 'claims.example',
+      prefix: '/new/',
+      backend: 'desk',
+      timeout_ms: 5_000,
+    };
+    const old = { ...route, name: 'claims', prefix: '/claims/', attempts: 2, stretch: 2 };
+    expect((await probe()).status).toBe(404);
+    deployment.store.put('op/config', JSON.stringify({ version: 4, routes: [old, route] }));
+    await deployment.until('new queue known', async () => (await probe()).status === 200);
+    deployment.store.put('op/config', 'unreadable');
+    await sleep(200);
+    expect((await probe()).status).toBe(200);
+    deployment.store.put('op/config', JSON.stringify({ version: 5, routes: [old, route] }));
+  });
+
+  it('start nothing in a data centre that is out', async () => {
+    deployment.store.put('op/evacuate/north', '{}');
+    const isApplied = () =>
+      [0, 2].every((index) =>
+        readFileSync(join(deployment.logs, `agent-${index}.log`), 'utf8').includes('out=north'),
+      );
+    await deployment.until('evacuation known to the agents', async () => isApplied());
+    const before = deployment.workers.map(({ events }) => events.length);
+    const answers = await Promise.all([submit(0, 4, 30), submit(1, 4, 30)]);
+    expect(answers.map(({ status }) => status)).toEqual([200, 200]);
+    const after = deployment.workers.map(({ events }) => events.length);
+    expect([after[0], after[2]]).toEqual([before[0], before[2]]);
+    deployment.store.put('op/evacuate/north', undefined);
+    await sleep(100);
+  });
+
+  it('go on while the store is down, also through SIGHUP', async () => {
+    deployment.store.mood = 'refuse';
+    deployment.entries.forEach(({ process: child }) => child.kill('SIGHUP'));
+    deployment.agents.forEach(({ process: child }) => child.kill('SIGHUP'));
+    await sleep(300);
+    const answers = await Promise.all([submit(0, 3, 40), submit(1, 3, 40)]);
+    expect(answers.map(({ status }) => status)).toEqual([200, 200]);
+    deployment.store.mood = 'well';
+  });
+
+  it('finish the jobs in progress on SIGTERM of an entry', async () => {
+    const pending = submit(1, 3, 800);
+    await sleep(200);
+    const [, entry] = deployment.entries;
+    entry?.process.kill('SIGTERM');
+    const answer = await pending;
+    expect(answer).toMatchObject({ status: 200, body: { state: 'completed' } });
+    if (entry) await deployment.untilExited(entry);
+    await deployment.startEntry(1);
+    await deployment.untilAttached(1, 3);
+  });
+
+  it('finish the runs in progress on SIGTERM of an agent', async () => {
+    const pending = Promise.all(Array.from({ length: 6 }, () => submit(0, 2, 700)));
+    await sleep(200);
+    const [agent] = deployment.agents;
+    agent?.process.kill('SIGTERM');
+    expect((await pending).map(({ status }) => status)).toEqual(Array(6).fill(200));
+    if (agent) await deployment.untilExited(agent);
+    await deployment.startAgent(0);
+    await deployment.untilAttached(0, 3);
+  });
+
+  it('run the tasks of a killed agent again once they have certainly ended', async () => {
+    const pending: Promise<ClientAnswer>[] = Array.from({ length: 6 }, () => submit(0, 2, 900));
+    await sleep(200);
+    const [, agent] = deployment.agents;
+    agent?.process.kill('SIGKILL');
+    expect((await Promise.all(pending)).map(({ status }) => status)).toEqual(Array(6).fill(200));
+    await deployment.startAgent(1);
+    await deployment.untilAttached(0, 3);
+  });
+
+  it('stop the runs of a frozen entry', async () => {
+    const abandoned = submit(0, 3, 3_000).catch(() => undefined);
+    await sleep(300);
+    const [entry] = deployment.entries;
+    entry?.process.kill('SIGSTOP');
+    const running = () => deployment.workers.reduce((sum, worker) => sum + worker.running, 0);
+    await deployment.until('runs stopped', async () => running() === 0);
+    entry?.process.kill('SIGCONT');
+    await abandoned;
+  });
+});
--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -102,6 +102,11 @@
     return [...this.connections.values()].filter(({ view }) => view).length;
   }
 
+  /** Number of attached agents whose workers take work. */
+  get openWorkers(): number {
+    return [...this.connections.values()].filter(({ view }) => view?.state === 'open').length;
+  }
+
   /** True once the operators' configuration is known. */
   get isConfigured(): boolean {
     return this.state !== undefined;
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -223,7 +223,8 @@
     const now = performance.now();
     const { step, route, arrivedAt, deadlineAt } = job;
     const spanMs = objectiveOf(job, bestSlowness) - arrivedAt;
-    const lastStart = Math.min(deadlineAt, arrivedAt + LATE_FACTOR * spanMs) - step.estimateMs * bestSlowness;
+    const lastStart =
+      Math.min(deadlineAt, arrivedAt + LATE_FACTOR * spanMs) - step.estimateMs * bestSlowness;
     if (now > lastStart) {
       const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, step.estimateMs);
       return { type: 'refused', reason: 'noRoom', retryAfterMs };
@@ -314,7 +315,10 @@
       job.wasOffered = true;
       const declined = runs.filter(([index]) => !taken.includes(index));
       if (declined.length > 0) {
-        this.host.log.info({ job: job.id, agent: name, declined: declined.length, reason }, 'declined');
+        this.host.log.info(
+          { job: job.id, agent: name, declined: declined.length, reason },
+          'declined',
+        );
         connection.pausedUntil = performance.now() + DECLINE_PAUSE_MS;
         declined.forEach(([index, run]) => this.putBack(job, index, name, run));
       }
--- a/packages/dispatch/src/job.ts
+++ b/packages/dispatch/src/job.ts
@@ -58,12 +58,7 @@
 
 /** Why a job was refused. */
 export type RefusalReason =
-  | 'noConfiguration'
-  | 'stopping'
-  | 'notSupported'
-  | 'tooLarge'
-  | 'noRoom'
-  | 'noWorkers';
+  'noConfiguration' | 'stopping' | 'notSupported' | 'tooLarge' | 'noRoom' | 'noWorkers';
 
 /**
  * Names what a job asks for that is not served yet.
--- a/packages/dispatch/tests/placeTasks.test.ts
+++ b/packages/dispatch/tests/placeTasks.test.ts
@@ -41,7 +41,10 @@
     fc.assert(
       fc.property(fc.array(candidate, { maxLength: 20 }), fc.nat({ max: 60 }), (agents, count) => {
         const equal = agents.map((agent) => ({ ...agent, slowness: 1 }));
-        const naive = Math.min(count, equal.reduce((sum, { fitting }) => sum + fitting, 0));
+        const naive = Math.min(
+          count,
+          equal.reduce((sum, { fitting }) => sum + fitting, 0),
+        );
         const placed = placeTasks(equal, { ...goal, count });
         expect(placed.reduce((sum, { count: n }) => sum + n, 0)).toBe(naive);
       }),
--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -1,11 +1,4 @@
-import {
-
-  countFitting,
-  createCallServer,
-  sleep,
-
-  taskKey,
-} from '@marjorammast/protocol';
+import { countFitting, createCallServer, sleep, taskKey } from '@marjorammast/protocol';
 import type {
   CallServer,
   DeclineReason,
@@ -18,12 +11,7 @@
   WorkerView,
 } from '@marjorammast/protocol';
 import type { Log } from '@marjorammast/telemetry';
-import {
-  ASSIGN_AGE_MS,
-  OWNER_CHECK_MS,
-  OWNER_SILENCE_MS,
-  VIEW_PERIOD_MS,
-} from './constants';
+import { ASSIGN_AGE_MS, OWNER_CHECK_MS, OWNER_SILENCE_MS, VIEW_PERIOD_MS } from './constants';
 import { SlownessEstimate, findSlowRuns } from './SlownessEstimate';
 import { WorkerHealth } from './WorkerHealth';
 import { WorkerLife } from './WorkerLife';
@@ -225,7 +213,14 @@
   private attach(entry: string, rules: GateRules, link: Link): Result<'attach'> {
     this.ownerCount += 1;
     const id = `${entry}#${this.ownerCount}`;
-    this.owners.set(link, { id, link, entry, heardAt: performance.now(), ends: [], isShort: false });
+    this.owners.set(link, {
+      id,
+      link,
+      entry,
+      heardAt: performance.now(),
+      ends: [],
+      isShort: false,
+    });
     link.onClose(() => this.detach(link));
     this.takeRules(rules);
     this.parts.log.info({ entry, revision: rules.revision }, 'entry_attached');
--- a/packages/gate/src/WorkerLife.ts
+++ b/packages/gate/src/WorkerLife.ts
@@ -1,5 +1,11 @@
 import { match } from 'ts-pattern';
-import { NO_RESOURCES, addResources, sleep, subtractResources, taskKey } from '@marjorammast/protocol';
+import {
+  NO_RESOURCES,
+  addResources,
+  sleep,
+  subtractResources,
+  taskKey,
+} from '@marjorammast/protocol';
 import type { Resources, RunEnd, TaskName } from '@marjorammast/protocol';
 import type { Log } from '@marjorammast/telemetry';
 import {
@@ -276,7 +282,9 @@
   }
 
   private isListed(run: Run, list: RunList): boolean {
-    return list.running.some((row) => taskKey(row.task) === taskKey(run.task) && row.run === run.run);
+    return list.running.some(
+      (row) => taskKey(row.task) === taskKey(run.task) && row.run === run.run,
+    );
   }
 
   private isCurrent(run: Run): boolean {
@@ -426,11 +434,9 @@
 
   private expireMemory(): void {
     const before = performance.now() - ENDED_MEMORY_MS;
-    // Entries stand in order of insertion.
-    for (const [key, { at }] of this.recentEnds) {
-      if (at > before) return;
-      this.recentEnds.delete(key);
-    }
+    this.recentEnds.forEach(({ at }, key) => {
+      if (at < before) this.recentEnds.delete(key);
+    });
   }
 }
 
--- a/packages/gate/src/WorkerPort.ts
+++ b/packages/gate/src/WorkerPort.ts
@@ -57,8 +57,7 @@
 
 /** Answer to a hold. */
 export type HoldAnswer =
-  | { type: 'list'; list: RunList }
-  | Exclude<OrderAnswer, { type: 'accepted' }>;
+  { type: 'list'; list: RunList } | Exclude<OrderAnswer, { type: 'accepted' }>;
 
 /** Order to start a run. */
 export type StartOrder = {
--- a/packages/gate/tests/SlownessEstimate.test.ts
+++ b/packages/gate/tests/SlownessEstimate.test.ts
@@ -43,13 +43,21 @@
 
   it('never judges a worker to be faster than learned', () => {
     const estimate = SlownessEstimate.create();
-    expect(estimate.noteProgress(jobs.map((job) => run(job, 1_000, 99)), 300)).toBe(false);
+    expect(
+      estimate.noteProgress(
+        jobs.map((job) => run(job, 1_000, 99)),
+        300,
+      ),
+    ).toBe(false);
     expect(estimate.value).toBe(1);
   });
 
   it('gives a slowed worker without runs another chance', () => {
     const estimate = SlownessEstimate.create();
-    estimate.noteProgress(jobs.map((job) => run(job, 200, 20)), 300);
+    estimate.noteProgress(
+      jobs.map((job) => run(job, 200, 20)),
+      300,
+    );
     estimate.expire(3_000);
     expect(estimate.value).toBeGreaterThan(6);
     estimate.expire(3_400);
--- a/packages/proofs/tests/support/DispatchWorld.ts
+++ b/packages/proofs/tests/support/DispatchWorld.ts
@@ -282,7 +282,7 @@
       return [{ rule: 'partial', detail: job.id }];
     }
     const hasRun = tasks.some((task) => byTask.get(task)?.some(({ to }) => to > at - 1));
-    const isLast = answers.filter((answer) => answer.job.id === job.id).at(-1)?.at === at;
+    const isLast = answers.filter((answer) => answer.job.id === job.id).pop()?.at === at;
     return outcome.type === 'refused' && isLast && hasRun
       ? [{ rule: 'falseRefusal', detail: job.id }]
       : [];
--- a/packages/proofs/tests/support/MemoryWorker.ts
+++ b/packages/proofs/tests/support/MemoryWorker.ts
@@ -1,4 +1,10 @@
-import type { HoldAnswer, OrderAnswer, RunList, WorkerPort, WorkerReport } from '@marjorammast/gate';
+import type {
+  HoldAnswer,
+  OrderAnswer,
+  RunList,
+  WorkerPort,
+  WorkerReport,
+} from '@marjorammast/gate';
 import { taskKey } from '@marjorammast/protocol';
 import type { Resources, TaskName } from '@marjorammast/protocol';
 
@@ -202,7 +208,8 @@
     this.active.set(task, active);
     this.seen.push(active);
     const used = [...this.active.values()].reduce((sum, other) => sum + other.cpu, 0);
-    if (used > this.capacity.cpu) this.overloads.push(`${this.id}: ${used} of ${this.capacity.cpu}`);
+    if (used > this.capacity.cpu)
+      this.overloads.push(`${this.id}: ${used} of ${this.capacity.cpu}`);
     return { type: 'accepted', clock };
   }
 
--- a/packages/proofs/tests/support/dispatchSchedule.ts
+++ b/packages/proofs/tests/support/dispatchSchedule.ts
@@ -130,11 +130,19 @@
   });
   run.work.forEach(({ atMs, entry, tasks, runMs, cpu, fails, leaveMs }, index) => {
     const id = (index + 1).toString(16).padStart(16, '0');
-    const job = { id, tasks, spec: { runMs, cpu, fails: fails && index % 5 === 0 }, estimateMs: runMs };
+    const job = {
+      id,
+      tasks,
+      spec: { runMs, cpu, fails: fails && index % 5 === 0 },
+      estimateMs: runMs,
+    };
     setTimeout(() => void world.send(job, entry, leaveMs), atMs);
   });
   const until = performance.now() + LENGTH_MS + SETTLE_MS;
-  while (performance.now() < until && (world.openClients > 0 || performance.now() < until - SETTLE_MS)) {
+  while (
+    performance.now() < until &&
+    (world.openClients > 0 || performance.now() < until - SETTLE_MS)
+  ) {
     await jest.advanceTimersByTimeAsync(STEP_MS);
   }
   world.halt();
--- a/packages/protocol/src/resources.ts
+++ b/packages/protocol/src/resources.ts
@@ -31,7 +31,9 @@
  * @returns true when the task fits in every dimension
  */
 export const fits = (needs: Resources, free: Resources): boolean =>
-  needs.cpu <= free.cpu && needs.memoryMb <= free.memoryMb && needs.accelerators <= free.accelerators;
+  needs.cpu <= free.cpu &&
+  needs.memoryMb <= free.memoryMb &&
+  needs.accelerators <= free.accelerators;
 
 /**
  * Counts how many equal tasks fit.
--- a/packages/standins/src/PlatformStoreStandIn.ts
+++ b/packages/standins/src/PlatformStoreStandIn.ts
@@ -1,6 +1,7 @@
 import { Hono } from 'hono';
 import type { Context } from 'hono';
 import { z } from 'zod';
+import { Waiters, forever } from './Waiters';
 
 type Item = { key: string; value: string; revision: number; created: number; lease: number };
 
@@ -28,7 +29,7 @@
   /** Oldest revision whose events are kept. */
   private oldest = 1;
 
-  private readonly waiting = new Set<() => void>();
+  private readonly waiting = Waiters.create();
 
   mood: StoreMood = 'well';
 
@@ -53,25 +54,31 @@
       this.events.push({ key, revision, tombstone: true });
     } else {
       const created = this.items.get(key)?.created ?? revision;
-      const item = { key, value: Buffer.from(value).toString('base64'), revision, created, lease: 0 };
+      const item = {
+        key,
+        value: Buffer.from(value).toString('base64'),
+        revision,
+        created,
+        lease: 0,
+      };
       this.items.set(key, item);
       this.events.push(item);
     }
-    [...this.waiting].forEach((wake) => wake());
+    this.waiting.wakeAll();
   }
 
   /** Forgets the history and cuts the watches. */
   compact(): void {
     this.events = [];
     this.oldest = this.revision;
-    [...this.waiting].forEach((wake) => wake());
+    this.waiting.wakeAll();
   }
 
   /** The HTTP interface. */
   routes(): Hono {
     const app = new Hono();
     app.use(async (context, next) => {
-      if (this.mood === 'silent') await new Promise(() => undefined);
+      if (this.mood === 'silent') await forever();
       return this.mood === 'refuse' ? context.json({}, 503) : next();
     });
     app.get('/api/kv-range', (context) => this.range(context));
@@ -82,7 +89,9 @@
 
   private range(context: Context): Response {
     const { prefix = '', after = '' } = context.req.query();
-    const keys = [...this.items.keys()].filter((key) => key.startsWith(prefix) && key > after).sort();
+    const keys = [...this.items.keys()]
+      .filter((key) => key.startsWith(prefix) && key > after)
+      .sort();
     const items = keys.slice(0, PAGE_SIZE).map((key) => this.items.get(key));
     const body = { items, has_more: keys.length > PAGE_SIZE, store_revision: this.revision };
     return context.json(body);
@@ -94,30 +103,21 @@
     const waitMs = Number(context.req.query('wait_ms') ?? 0);
     const find = () => this.events.filter((e) => e.revision > after && e.key.startsWith(prefix));
     if (after < this.oldest - 1) return context.json({}, 410);
-    if (find().length === 0) await this.wait(waitMs);
+    if (find().length === 0) await this.waiting.wait(waitMs);
     if (after < this.oldest - 1) return context.json({}, 410);
     return context.json({ events: find(), store_revision: this.revision });
   }
 
-  private wait(waitMs: number): Promise<void> {
-    return new Promise((resolve) => {
-      const end = () => {
-        this.waiting.delete(end);
-        clearTimeout(timer);
-        resolve();
-      };
-      const timer = setTimeout(end, waitMs);
-      this.waiting.add(end);
-    });
-  }
-
   private transact(context: Context, body: unknown): Response {
     const { precondition, puts, remove } = transactionSchema.parse(body);
     const isMet = precondition.every(
       ({ key, revision }) => (this.items.get(key)?.revision ?? 0) === revision,
     );
     if (!isMet) {
-      return context.json({ items: precondition.flatMap(({ key }) => this.items.get(key) ?? []) }, 412);
+      return context.json(
+        { items: precondition.flatMap(({ key }) => this.items.get(key) ?? []) },
+        412,
+      );
     }
     puts.forEach(({ key, value }) => this.put(key, Buffer.from(value, 'base64').toString()));
     remove.forEach((key) => this.put(key, undefined));
--- a/packages/standins/src/WorkerStandIn.ts
+++ b/packages/standins/src/WorkerStandIn.ts
@@ -2,6 +2,7 @@
 import type { Context } from 'hono';
 import { z } from 'zod';
 import type { Resources } from '@marjorammast/protocol';
+import { Waiters, forever } from './Waiters';
 
 /** Describes a worker. */
 export type WorkerTraits = {
@@ -92,7 +93,7 @@
 
   private sequence = 0;
 
-  private readonly waiting = new Set<() => void>();
+  private readonly waiting = Waiters.create();
 
   private leaseTimer: NodeJS.Timeout | undefined;
 
@@ -137,9 +138,9 @@
   routes(): Hono {
     const app = new Hono();
     app.use(async (_, next) => {
-      if (this.mood === 'silent') await new Promise(() => undefined);
+      if (this.mood === 'silent') await forever();
       await next();
-      if (this.mood === 'answerLost') await new Promise(() => undefined);
+      if (this.mood === 'answerLost') await forever();
     });
     app.post('/api/run-start', async (context) => this.start(context, await context.req.json()));
     app.post('/api/run-stop', async (context) => this.stop(context, await context.req.json()));
@@ -215,11 +216,16 @@
   }
 
   private async hold(context: Context, body: unknown): Promise<Response> {
-    const { until_ms: until, fence_token: token, last_seen: seen, wait_ms: waitMs } = holdSchema.parse(body);
+    const {
+      until_ms: until,
+      fence_token: token,
+      last_seen: seen,
+      wait_ms: waitMs,
+    } = holdSchema.parse(body);
     if (this.isFenced(token)) return this.refuse(context, 'fence');
     if (until !== undefined) this.extend(until);
     this.ends = this.ends.filter(([number]) => number > seen);
-    if (this.ends.length === 0 && waitMs > 0) await this.wait(waitMs);
+    if (this.ends.length === 0 && waitMs > 0) await this.waiting.wait(waitMs);
     const running = [...this.runs.values()].map((state) => [
       state.task,
       state.run,
@@ -237,18 +243,6 @@
     return Math.min(99, Math.floor(share * 100));
   }
 
-  private wait(waitMs: number): Promise<void> {
-    return new Promise((resolve) => {
-      const end = () => {
-        this.waiting.delete(end);
-        clearTimeout(timer);
-        resolve();
-      };
-      const timer = setTimeout(end, waitMs);
-      this.waiting.add(end);
-    });
-  }
-
   private end(state: RunState, how: string): void {
     if (this.runs.get(state.task) !== state) return;
     clearTimeout(state.timer);
@@ -257,7 +251,7 @@
     this.endCount += 1;
     this.ends.push([this.endCount, state.task, state.run, how, '']);
     this.record(state.task, state.run, how);
-    [...this.waiting].forEach((wake) => wake());
+    this.waiting.wakeAll();
   }
 
   private raise(task: string, run: number): void {
@@ -269,7 +263,11 @@
   }
 
   private checkRoom(): void {
-    const cpu = [...this.runs.values()].reduce((sum, { spec }) => sum + this.traits.needs(spec).cpu, 0);
-    if (cpu > this.traits.capacity.cpu) this.overloads.push(`${cpu} of ${this.traits.capacity.cpu}`);
+    const cpu = [...this.runs.values()].reduce(
+      (sum, { spec }) => sum + this.traits.needs(spec).cpu,
+      0,
+    );
+    if (cpu > this.traits.capacity.cpu)
+      this.overloads.push(`${cpu} of ${this.traits.capacity.cpu}`);
   }
 }
--- a/packages/store/tests/StoreFeed.test.ts
+++ b/packages/store/tests/StoreFeed.test.ts
@@ -1,3 +1,4 @@
+import { sleep } from '@marjorammast/protocol';
 import { createLog } from '@marjorammast/telemetry';
 import { StoreFeed } from '../src/StoreFeed';
 import { StoreError } from '../src/Store';
@@ -16,7 +17,7 @@
     follow: async (_prefix, _after, waitMs) => {
       waits.push(waitMs);
       const next = script.follows.shift();
-      if (next === undefined) return new Promise(() => undefined);
+      if (next === undefined) return sleep(3_600_000).then(() => ({ type: 'compacted' }));
       if (next instanceof Error) throw next;
       return next;
     },
