Let an entry that the store turns away learn the operators' state from its peers

Cause: the platform's store may refuse some machines for 9 s, longer than a configuration may take, and such an entry knew only its own reads. Agents pass the revision on with their rules; an entry that is behind for 300 ms asks another entry. A change of agents alone no longer counts as a new state. The new test fails without the call to peers (the entry keeps the old queues).

--- a/marjorammast-app/src/dispatchEntry.ts
+++ b/marjorammast-app/src/dispatchEntry.ts
@@ -5,9 +5,9 @@
   createReadinessHttp,
   decodeOperatorState,
 } from '@marjorammast/platform';
-import { decodeListing, dial } from '@marjorammast/protocol';
+import { decodeListings, dial, listen } from '@marjorammast/protocol';
 import { dispatchSettingsSchema } from '@marjorammast/settings';
-import { StoreFeed } from '@marjorammast/store';
+import { StoreFeed, announce } from '@marjorammast/store';
 import { createTextMetrics } from '@marjorammast/telemetry';
 import { createDaemonLog } from './createDaemonLog';
 import { serveHttp } from './serveHttp';
@@ -22,7 +22,7 @@
 
 const run = async (): Promise<void> => {
   const settings = loadSettings('dispatchEntry', dispatchSettingsSchema);
-  const { name, dataCenter, clients, readiness, store, logLevel, stopTimeoutMs } = settings;
+  const { name, dataCenter, rpc, clients, readiness, store, logLevel, stopTimeoutMs } = settings;
   const log = createDaemonLog(name, logLevel);
   const metrics = createTextMetrics();
   const answers = metrics.histogram('marjorammast_job_ms', 'Time to answer a job', [
@@ -43,15 +43,15 @@
   metrics.gauge('marjorammast_runs', 'Runs not ended', () => entry.dispatcher.running);
   metrics.gauge('marjorammast_agents', 'Agents attached', () => entry.attachedAgents);
   metrics.gauge('marjorammast_open_workers', 'Workers that take work', () => entry.openWorkers);
+  const platformStore = createPlatformStore(store);
   const feed = StoreFeed.create({
-    store: createPlatformStore(store),
+    store: platformStore,
     prefix: '',
     waitMs: WATCH_MS,
     changed: (items, revision) => {
+      entry.listPeers(decodeListings('entries', items.values()));
       entry.configure(decodeOperatorState(items, revision, log));
-      entry.listAgents(
-        [...items.values()].flatMap((item) => decodeListing(item.key, item.value) ?? []),
-      );
+      entry.listAgents(decodeListings('agents', items.values()));
     },
     random: Math.random,
     log,
@@ -59,10 +59,13 @@
   await serveHttp(createReadinessHttp(entry), readiness);
   await serveHttp(createClientHttp(entry, log), clients);
   await serveMetrics(metrics, settings.metrics);
+  const calls = await listen(rpc, entry.server, traffic);
+  void announce(platformStore, 'entries', { name, address: rpc, dataCenter }, log);
   log.info({ clients, dataCenter, pid: process.pid }, 'started');
   stopOnSignal(log, async () => {
     await entry.stop(NOTICE_MS, stopTimeoutMs);
     feed.stop();
+    calls.close();
   });
 };
 
--- a/marjorammast-app/src/gateAgent.ts
+++ b/marjorammast-app/src/gateAgent.ts
@@ -1,8 +1,9 @@
 import { uptime } from 'node:os';
-import { GateAgent, announceAgent } from '@marjorammast/gate';
+import { GateAgent } from '@marjorammast/gate';
 import { createPlatformStore, createWorkerPort, serveWorker } from '@marjorammast/platform';
 import { listen } from '@marjorammast/protocol';
 import { gateSettingsSchema } from '@marjorammast/settings';
+import { announce } from '@marjorammast/store';
 import { createTextMetrics } from '@marjorammast/telemetry';
 import { createDaemonLog } from './createDaemonLog';
 import { serveMetrics } from './serveMetrics';
@@ -37,7 +38,12 @@
   await serveWorker(agent, host, port, log);
   await serveMetrics(metrics, settings.metrics);
   log.info({ rpc, worker, dataCenter, pid: process.pid }, 'started');
-  void announceAgent(createPlatformStore(settings.store), { name, address: rpc, dataCenter }, log);
+  void announce(
+    createPlatformStore(settings.store),
+    'agents',
+    { name, address: rpc, dataCenter },
+    log,
+  );
   stopOnSignal(log, async () => {
     await agent.stop(stopTimeoutMs);
     server.close();
--- a/packages/dispatch/src/ActiveJob.ts
+++ b/packages/dispatch/src/ActiveJob.ts
@@ -1,5 +1,5 @@
+import type { Route } from '@marjorammast/protocol';
 import type { JobOutcome, JobRequest, Step } from './job';
-import type { Route } from './operatorState';
 
 /** State of one task of an active job. */
 export type TaskState =
--- a/packages/dispatch/src/AgentConnection.ts
+++ b/packages/dispatch/src/AgentConnection.ts
@@ -2,7 +2,7 @@
 import type {
   GateRules,
   Link,
-  ListedAgent,
+  ListedProcess,
   Params,
   Resources,
   Result,
@@ -65,7 +65,7 @@
   pausedUntil = 0;
 
   private constructor(
-    public listed: ListedAgent,
+    public listed: ListedProcess,
     private readonly host: AgentConnectionHost,
   ) {}
 
@@ -74,7 +74,7 @@
    * @param host - what the connection needs of its entry
    * @returns a connection that is being opened
    */
-  static create(listed: ListedAgent, host: AgentConnectionHost): AgentConnection {
+  static create(listed: ListedProcess, host: AgentConnectionHost): AgentConnection {
     const connection = new AgentConnection(listed, host);
     void connection.open();
     return connection;
--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -1,15 +1,22 @@
 import { createHash } from 'node:crypto';
 import { createCallServer, sleep } from '@marjorammast/protocol';
-import type { CallServer, GateRules, Link, ListedAgent } from '@marjorammast/protocol';
+import type {
+  CallServer,
+  GateRules,
+  Link,
+  ListedProcess,
+  OperatorState,
+  Route,
+} from '@marjorammast/protocol';
 import type { Log } from '@marjorammast/telemetry';
 import { ActiveJob } from './ActiveJob';
 import { AgentConnection } from './AgentConnection';
 import { ANSWER_MARGIN_MS, MIN_RETRY_AFTER_MS, REACH, RENEW_PERIOD_MS } from './constants';
 import { Dispatcher } from './Dispatcher';
+import { findRoute } from './findRoute';
 import { unsupportedFeature } from './job';
 import type { JobOutcome, JobRequest } from './job';
-import { findRoute } from './operatorState';
-import type { OperatorState, Route } from './operatorState';
+import { PeerState } from './PeerState';
 
 /** Counts and timings that an entry gives. */
 export type EntryMeter = { answered: (route: string, outcome: string, ms: number) => void };
@@ -37,24 +44,35 @@
 
 const STOP_POLL_MS = 25;
 
+/** Time in which the store is expected to tell of a state that others know, in milliseconds. */
+const CATCH_UP_MS = 300;
+
 const MAX_TASKS_PER_STEP = 1_000;
 
 /** One entry: takes jobs from clients and answers them when their tasks have ended. */
 export class DispatchEntry {
   readonly dispatcher: Dispatcher;
 
-  private readonly server: CallServer;
+  /** Answers the calls of agents and of other entries. */
+  readonly server: CallServer;
 
   private readonly connections = new Map<string, AgentConnection>();
 
   private readonly jobs = new Map<string, { job: ActiveJob; waiters: number }>();
 
-  private listed: readonly ListedAgent[] = [];
+  private listed: readonly ListedProcess[] = [];
 
   private state: OperatorState | undefined;
 
   private rules: GateRules = { revision: 0, outDataCenters: [] };
 
+  private readonly peers: PeerState;
+
+  /** Newest revision of the store that any other process knows. */
+  private wantedRevision = 0;
+
+  private isCatchingUp = false;
+
   private isDraining = false;
 
   private readonly renewal: NodeJS.Timeout;
@@ -68,6 +86,12 @@
       outDataCenters: () => this.rules.outDataCenters,
       log: parts.log,
     });
+    this.peers = PeerState.create({
+      self: parts.name,
+      dial: (address) => parts.dial(address, this.server),
+      random: parts.random,
+      log: parts.log,
+    });
     this.renewal = setInterval(
       () => this.connections.forEach((connection) => connection.renew()),
       RENEW_PERIOD_MS / 4,
@@ -119,11 +143,14 @@
    */
   configure(state: OperatorState): void {
     if (this.state && state.revision <= this.state.revision) return;
+    const known = this.state;
     // The configuration may be unreadable for a moment; the last good one holds.
-    const version = Math.max(state.version, this.state?.version ?? 0);
-    const isNewer = state.version > (this.state?.version ?? 0);
-    this.state = { ...state, version, routes: isNewer ? state.routes : (this.state?.routes ?? []) };
-    const { revision, routes, outDataCenters } = this.state;
+    const isNewer = state.version > (known?.version ?? 0);
+    const { version, routes } = isNewer || !known ? state : known;
+    const { revision, outDataCenters } = state;
+    this.state = { revision, version, routes, outDataCenters };
+    const isSame = known && !isNewer && known.outDataCenters.join() === outDataCenters.join();
+    if (isSame) return;
     this.parts.log.info(
       { revision, version, routes: routes.length, out: outDataCenters.join(',') },
       'configured',
@@ -131,12 +158,21 @@
     this.takeRules({ revision, outDataCenters: [...outDataCenters] });
   }
 
+  /**
+   * Takes the list of entries.
+   *
+   * @param listed - all entries that have announced themselves
+   */
+  listPeers(listed: readonly ListedProcess[]): void {
+    this.peers.list(listed);
+  }
+
   /**
    * Takes the list of agents.
    *
    * @param listed - all agents that have announced themselves
    */
-  listAgents(listed: readonly ListedAgent[]): void {
+  listAgents(listed: readonly ListedProcess[]): void {
     this.listed = listed;
     this.chooseAgents();
   }
@@ -241,8 +277,10 @@
         this.dispatcher.takeEnds(connection.name, runs);
         return {};
       },
+      operatorState: () => ({ state: this.state }),
       rules: (rules) => {
         this.takeRules(rules);
+        void this.catchUp(rules.revision);
         return {};
       },
     });
@@ -256,6 +294,20 @@
     this.dispatcher.schedule();
   }
 
+  /** Asks other entries when others know a newer state and the store does not tell it. */
+  private async catchUp(revision: number): Promise<void> {
+    this.wantedRevision = Math.max(this.wantedRevision, revision);
+    if (this.isCatchingUp) return;
+    this.isCatchingUp = true;
+    const isBehind = () => !this.isDraining && (this.state?.revision ?? 0) < this.wantedRevision;
+    while (isBehind()) {
+      await sleep(CATCH_UP_MS);
+      const state = isBehind() ? await this.peers.fetch() : undefined;
+      if (state) this.configure(state);
+    }
+    this.isCatchingUp = false;
+  }
+
   private refuse(job: JobRequest): JobOutcome | undefined {
     const feature = unsupportedFeature(job);
     if (feature) {
@@ -323,10 +375,10 @@
 
   /** Agents of the own data centre first, then others, in an order of this entry's own. */
   private chooseAgents(): void {
-    const rank = ({ name }: ListedAgent) =>
+    const rank = ({ name }: ListedProcess) =>
       createHash('md5').update(`${this.parts.name}>${name}`).digest('hex');
-    const isOut = ({ dataCenter }: ListedAgent) => this.rules.outDataCenters.includes(dataCenter);
-    const isOther = ({ dataCenter }: ListedAgent) => dataCenter !== this.parts.dataCenter;
+    const isOut = ({ dataCenter }: ListedProcess) => this.rules.outDataCenters.includes(dataCenter);
+    const isOther = ({ dataCenter }: ListedProcess) => dataCenter !== this.parts.dataCenter;
     const chosen = [...this.listed]
       .map((agent) => ({ agent, rank: rank(agent) }))
       .sort(
@@ -340,7 +392,7 @@
     this.connect(chosen);
   }
 
-  private connect(chosen: readonly ListedAgent[]): void {
+  private connect(chosen: readonly ListedProcess[]): void {
     const names = new Set(chosen.map(({ name }) => name));
     this.connections.forEach((connection, name) => {
       // A working connection outlives its entry in the store.
@@ -351,7 +403,7 @@
     chosen.forEach((listed) => this.connectTo(listed));
   }
 
-  private connectTo(listed: ListedAgent): void {
+  private connectTo(listed: ListedProcess): void {
     const known = this.connections.get(listed.name);
     if (known?.listed.address === listed.address) return;
     known?.close();
@@ -363,7 +415,10 @@
       hasRuns: (agent) => this.dispatcher.hasRuns(agent),
       changed: () => this.dispatcher.schedule(),
       lost: (agent) => this.dispatcher.lose(agent),
-      newerRules: (rules) => this.takeRules(rules),
+      newerRules: (rules) => {
+        this.takeRules(rules);
+        void this.catchUp(rules.revision);
+      },
       random,
       log,
     });
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,4 +1,4 @@
 export * from './DispatchEntry';
+export * from './findRoute';
 export * from './job';
-export * from './operatorState';
 export * from './placeTasks';
--- a/packages/gate/src/index.ts
+++ b/packages/gate/src/index.ts
@@ -1,4 +1,3 @@
-export * from './announceAgent';
 export * from './GateAgent';
 export * from './SlownessEstimate';
 export * from './WorkerHealth';
--- a/packages/proofs/tests/dispatch.test.ts
+++ b/packages/proofs/tests/dispatch.test.ts
@@ -1,5 +1,5 @@
 import fc from 'fast-check';
-import { checkDispatch } from './support/DispatchWorld';
+import { DispatchWorld, checkDispatch } from './support/DispatchWorld';
 import { dispatchRun, playDispatch } from './support/dispatchSchedule';
 import type { DispatchFault, DispatchWork } from './support/dispatchSchedule';
 
@@ -61,6 +61,18 @@
     expect(done.length).toBeGreaterThan(15);
   });
 
+  it('tells an entry that the store turns away of a new configuration', async () => {
+    const world = DispatchWorld.create(3, 3, 2);
+    await jest.advanceTimersByTimeAsync(1_000);
+    const [route] = world.operatorState.routes;
+    const routes = route ? [route, { ...route, name: 'new', prefix: '/new/' }] : [];
+    world.change({ version: 4, routes }, [1]);
+    await jest.advanceTimersByTimeAsync(1_900);
+    const names = world.entries.map(({ node }) => node.findRoute('h.example', '/new/1')?.name);
+    world.halt();
+    expect(names).toEqual(['new', 'new', 'new']);
+  });
+
   it('keeps its promises in every generated schedule', async () => {
     await fc.assert(
       fc.asyncProperty(dispatchRun, async (run) => {
--- a/packages/proofs/tests/support/DispatchWorld.ts
+++ b/packages/proofs/tests/support/DispatchWorld.ts
@@ -1,9 +1,10 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { DispatchEntry } from '@marjorammast/dispatch';
-import type { JobOutcome, OperatorState } from '@marjorammast/dispatch';
+import type { JobOutcome } from '@marjorammast/dispatch';
 import { GateAgent } from '@marjorammast/gate';
 import { sleep } from '@marjorammast/protocol';
+import type { OperatorState } from '@marjorammast/protocol';
 import { createLog } from '@marjorammast/telemetry';
 import { MemoryWorker } from './MemoryWorker';
 import type { SeenRun, SpecText } from './MemoryWorker';
@@ -110,12 +111,27 @@
 
   /** Takes data centres out, as operators do. */
   takeOut(centers: readonly string[]): void {
-    this.state = { ...this.state, revision: this.state.revision + 1, outDataCenters: centers };
-    this.entries.forEach((entry) => {
-      if (entry.isAlive) entry.node.configure(this.state);
+    this.change({ outDataCenters: [...centers] });
+  }
+
+  /**
+   * Changes what operators have written.
+   *
+   * @param fields - what changes
+   * @param unreached - entries that the store does not tell
+   */
+  change(fields: Partial<OperatorState>, unreached: readonly number[] = []): void {
+    this.state = { ...this.state, ...fields, revision: this.state.revision + 1 };
+    this.entries.forEach((entry, index) => {
+      if (entry.isAlive && !unreached.includes(index)) entry.node.configure(this.state);
     });
   }
 
+  /** What operators have written. */
+  get operatorState(): OperatorState {
+    return this.state;
+  }
+
   /** Kills an entry; its clients see their connections break. */
   killEntry(index: number): void {
     const entry = this.entries[index];
@@ -137,6 +153,14 @@
       log: this.log,
       meter: { answered: () => undefined },
     });
+    this.network.listen(name, node.server);
+    node.listPeers(
+      [0, 1, 2].map((peer) => ({
+        name: `entry-${peer}`,
+        address: `entry-${peer}`,
+        dataCenter: this.centerOf(peer),
+      })),
+    );
     node.configure(this.state);
     node.listAgents(
       this.workers.map((_, agent) => ({
--- a/packages/protocol/src/dispatchMessages.ts
+++ b/packages/protocol/src/dispatchMessages.ts
@@ -43,6 +43,37 @@
  */
 export const runEndSchema = z.enum(['done', 'failed', 'stopped', 'stalled', 'lapsed', 'notRun']);
 
+/** A queue: which requests it takes and how its jobs run. */
+export const routeSchema = z.object({
+  name: z.string(),
+  host: z.string(),
+  /** Beginning of the path; the longest that fits is chosen. */
+  prefix: z.string(),
+  /** Service whose workers run the jobs. */
+  service: z.string(),
+  /** Time allowed for one request, in milliseconds. */
+  timeoutMs: z.number().positive(),
+  /** Part of the latency objective that does not depend on the work, in milliseconds. */
+  targetLatencyMs: z.number().nonnegative(),
+  /** Part of the latency objective in units of the longest task. */
+  stretch: z.number().nonnegative(),
+  /** 0 comes first. */
+  priority: z.number(),
+  /** Failed runs of one task after which its job has failed. */
+  attempts: z.number().int().positive(),
+  /** True when an outside service names the workers that may run a step. */
+  needsAdvice: z.boolean(),
+});
+
+/** What operators have written, as of one revision of the store. */
+export const operatorStateSchema = z.object({
+  revision: count,
+  /** Version of the operators' configuration; 0 when there is none that can be read. */
+  version: count,
+  routes: z.array(routeSchema),
+  outDataCenters: z.array(z.string()),
+});
+
 /** The part of the operators' configuration that the gate of a worker needs. */
 export const gateRulesSchema = z.object({
   /** Revision of the store at which these rules were read. */
@@ -110,6 +141,11 @@
   },
   /** Agent to entry: the worker's state or room has changed. */
   view: { params: workerViewSchema, result: z.object({}) },
+  /** Entry to entry: what operators have written, for a peer that the store turns away. */
+  operatorState: {
+    params: z.object({}),
+    result: z.object({ state: operatorStateSchema.optional() }),
+  },
   /** Either way: newer rules for the gate. */
   rules: { params: gateRulesSchema, result: z.object({}) },
 } as const;
@@ -122,5 +158,9 @@
 export type DeclineReason = z.infer<typeof declineReasonSchema>;
 /** Inferred from {@link runEndSchema}. */
 export type RunEnd = z.infer<typeof runEndSchema>;
+/** Inferred from {@link routeSchema}. */
+export type Route = z.infer<typeof routeSchema>;
+/** Inferred from {@link operatorStateSchema}. */
+export type OperatorState = z.infer<typeof operatorStateSchema>;
 /** Inferred from {@link gateRulesSchema}. */
 export type GateRules = z.infer<typeof gateRulesSchema>;
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,4 +1,3 @@
-export * from './agentListing';
 export * from './clusterMap';
 export * from './constants';
 export * from './createId';
@@ -7,6 +6,7 @@
 export * from './resources';
 export * from './job';
 export * from './Link';
+export * from './listing';
 export * from './messages';
 export * from './sleep';
 export * from './taskName';
--- a/packages/gate/src/announceAgent.ts
+++ b/packages/store/src/announce.ts
@@ -1,7 +1,7 @@
-import { agentKey, encodeListing, sleep } from '@marjorammast/protocol';
-import type { ListedAgent } from '@marjorammast/protocol';
-import type { KeyValueStore } from '@marjorammast/store';
+import { encodeListing, listingKey, sleep } from '@marjorammast/protocol';
+import type { ListedProcess, ListedRole } from '@marjorammast/protocol';
 import type { Log } from '@marjorammast/telemetry';
+import type { KeyValueStore } from './KeyValueStore';
 
 /** First pause after a failed try, in milliseconds. */
 const RETRY_MS = 200;
@@ -10,22 +10,24 @@
 const MAX_RETRY_MS = 3_000;
 
 /**
- * Writes the agent's address into the store, where entries find it, and tries until it is written.
+ * Writes a process's address into the store, where others find it, and tries until it is written.
  *
  * @param store - the store
- * @param agent - the agent
+ * @param role - kind of the process
+ * @param listed - the process
  * @param log - tells of failed tries
  */
-export const announceAgent = async (
+export const announce = async (
   store: KeyValueStore,
-  agent: ListedAgent,
+  role: ListedRole,
+  listed: ListedProcess,
   log: Log,
 ): Promise<void> => {
   let pauseMs = RETRY_MS;
   for (;;) {
     try {
-      await store.write(agentKey(agent.name), encodeListing(agent), []);
-      log.info({ address: agent.address }, 'announced');
+      await store.write(listingKey(role, listed.name), encodeListing(listed), []);
+      log.info({ address: listed.address }, 'announced');
       return;
     } catch (error) {
       const detail = error instanceof Error ? error.message : String(error);
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,3 +1,4 @@
+export * from './announce';
 export * from './etcdStore';
 export * from './Store';
 export * from './swap';
