Stop renewing the lease of a worker that does not answer

Ruled out: the entry (its connection to the agent was up) and the settling of unanswered starts (the run was at work). Before: the new test answers 'unfinished' after 1.5 s; after: 'completed'.

--- a/packages/gate/src/WorkerLife.ts
+++ b/packages/gate/src/WorkerLife.ts
@@ -300,7 +300,8 @@
     this.lapseIfSilent();
     this.expireMemory();
     if (this.runs.size === 0) return;
-    const leaseUntil = this.extendLease();
+    // A silent worker's lease is left to end: each unanswered renewal may have extended it.
+    const leaseUntil = this.misses < MISSES_ALLOWED ? this.extendLease() : undefined;
     const order = { ...this.order, lastEnd: this.lastEnd, leaseUntil, waitMs: 0 };
     const list = this.absorb(await this.host.port.hold(order));
     if (list) this.reviewProgress();
--- a/packages/proofs/tests/dispatch.test.ts
+++ b/packages/proofs/tests/dispatch.test.ts
@@ -61,6 +61,20 @@
     expect(done.length).toBeGreaterThan(15);
   });
 
+  it('runs the tasks of a worker that falls silent again within a second', async () => {
+    const world = DispatchWorld.create(5, 1, 2);
+    await jest.advanceTimersByTimeAsync(1_000);
+    const job = { id: 'a'.repeat(16), tasks: 8, spec: { runMs: 300, cpu: 500 }, estimateMs: 300 };
+    void world.send(job, 0);
+    await jest.advanceTimersByTimeAsync(100);
+    const [worker] = world.workers;
+    if (worker) worker.mood = 'silent';
+    await jest.advanceTimersByTimeAsync(1_400);
+    world.halt();
+    expect(checkDispatch(world)).toEqual([]);
+    expect(world.answers.map(({ outcome }) => outcome.type)).toEqual(['completed']);
+  });
+
   it('tells an entry that the store turns away of a new configuration', async () => {
     const world = DispatchWorld.create(3, 3, 2);
     await jest.advanceTimersByTimeAsync(1_000);
