Sharper schedules: calls sent again, delayed orders, long runs, an agent restarted under its runs

Cause: with the first schedules five mechanisms could be taken out unnoticed; jobs longer than the client's patience were refused, and the worker in memory reported progress that long runs stalled on.

--- a/packages/proofs/tests/dispatch.test.ts
+++ b/packages/proofs/tests/dispatch.test.ts
@@ -17,6 +17,7 @@
     cpu: 500,
     fails: false,
     leaveMs: undefined,
+    returns: false,
   }));
 
 const at = (type: DispatchFault['type'], atMs: number, forMs: number, node = 0, other = 0) => ({
@@ -51,6 +52,7 @@
     ['silent', 1_500],
     ['answerLost', 1_500],
     ['late', 1_500],
+    ['delayed', 1_500],
     ['reborn', 10],
     ['takeOut', 1_500],
   ] as const)('keeps its promises under %s', async (type, forMs) => {
@@ -61,6 +63,34 @@
     expect(done.length).toBeGreaterThan(15);
   });
 
+  it('offers a worker only when the runs of the agent before are known and gone', async () => {
+    const world = DispatchWorld.create(6, 2, 1);
+    await jest.advanceTimersByTimeAsync(1_000);
+    const job = { tasks: 6, spec: { runMs: 2_500, cpu: 500 }, estimateMs: 2_500 };
+    void world.send({ ...job, id: 'a'.repeat(16) }, 0);
+    await jest.advanceTimersByTimeAsync(300);
+    world.killAgent(0);
+    world.startAgent(0);
+    world.reportNow(0);
+    void world.send({ ...job, id: 'b'.repeat(16) }, 1);
+    await jest.advanceTimersByTimeAsync(5_000);
+    world.halt();
+    expect(checkDispatch(world)).toEqual([]);
+    expect(world.runs.length).toBeGreaterThan(6);
+  });
+
+  it.each(['killEntry', 'freezeEntry', 'cut'] as const)(
+    'has no run of the first call left when a client calls again after %s',
+    async (type) => {
+      const work = { ...steady(1, 2_800)[0], leaveMs: 400, returns: true } as DispatchWork;
+      const faults = [0, 1, 2].map((node) => at(type, 350, 4_000, node));
+      const world = await playDispatch({ seed: 9, faults, work: [work] });
+      expect(checkDispatch(world)).toEqual([]);
+      expect(new Set(world.runs.map(({ run }) => run)).size).toBeGreaterThan(0);
+      expect(world.answers.map(({ outcome }) => outcome.type)).toEqual(['completed']);
+    },
+  );
+
   it('runs the tasks of a worker that falls silent again within a second', async () => {
     const world = DispatchWorld.create(5, 1, 2);
     await jest.advanceTimersByTimeAsync(1_000);
--- a/packages/proofs/tests/support/DispatchWorld.ts
+++ b/packages/proofs/tests/support/DispatchWorld.ts
@@ -18,7 +18,7 @@
 /** Time after which a client without an answer sends its job again, in milliseconds. */
 const RESEND_MS = 1_300;
 
-const CLIENT_DEADLINE_MS = 1_500;
+const CLIENT_DEADLINE_MS = 5_000;
 
 /** A job as one client sends it. */
 export type SentJob = { id: string; tasks: number; spec: SpecText; estimateMs: number };
@@ -204,18 +204,20 @@
    *
    * @param job - the job
    * @param index - entry that the client is sent to first
-   * @param leaveMs - the client leaves after this time, if given
+   * @param leaveMs - the client gives up the call after this time, if given
+   * @param returns - true when it then sends the job again
    */
-  async send(job: SentJob, index: number, leaveMs?: number): Promise<void> {
+  async send(job: SentJob, index: number, leaveMs?: number, returns = false): Promise<void> {
     this.openClients += 1;
     for (let attempt = 0; attempt < 2; attempt += 1) {
       const entry = this.entries[(index + attempt) % this.entries.length];
-      const outcome = await this.sendTo(entry, job, leaveMs);
+      const outcome = await this.sendTo(entry, job, attempt === 0 ? leaveMs : undefined);
       if (outcome) {
         const at = performance.now();
         this.answers.push({ job, entry: entry?.name ?? '', outcome, at });
       }
-      if (leaveMs !== undefined || (outcome && outcome.type !== 'unfinished')) break;
+      const hasLeft = leaveMs !== undefined && !returns;
+      if (hasLeft || (outcome && outcome.type !== 'unfinished')) break;
       await sleep(RESEND_MS);
     }
     this.openClients -= 1;
@@ -259,20 +261,24 @@
     });
     while (!outcome && !isCut() && performance.now() < until) await sleep(5);
     if (!outcome) client.abort();
-    // A dead entry answers nobody.
-    return entry.isAlive && performance.now() <= until ? outcome : undefined;
+    // A dead entry answers nobody, and a client that has left hears nothing.
+    return entry.isAlive && !client.signal.aborted ? outcome : undefined;
   }
 
   private centerOf(index: number): string {
     return CENTERS[index % CENTERS.length] ?? CENTERS[0];
   }
 
+  /** Lets a worker report to its agent now. */
+  reportNow(index: number): void {
+    const worker = this.workers[index];
+    const agent = this.agents[index];
+    if (worker && agent?.isAlive) agent.node.report(worker.report());
+  }
+
   private async reportForever(): Promise<void> {
     while (!this.isOver) {
-      this.workers.forEach((worker, index) => {
-        const agent = this.agents[index];
-        if (agent?.isAlive) agent.node.report(worker.report());
-      });
+      this.workers.forEach((_, index) => this.reportNow(index));
       await sleep(REPORT_MS);
     }
   }
--- a/packages/proofs/tests/support/MemoryWorker.ts
+++ b/packages/proofs/tests/support/MemoryWorker.ts
@@ -18,10 +18,10 @@
   how: string;
 };
 
-type Active = SeenRun & { name: TaskName; cpu: number; timer: NodeJS.Timeout };
+type Active = SeenRun & { name: TaskName; runMs: number; cpu: number; timer: NodeJS.Timeout };
 
 /** What a worker does with orders. */
-export type OrderMood = 'well' | 'silent' | 'answerLost' | 'late';
+export type OrderMood = 'well' | 'silent' | 'answerLost' | 'late' | 'delayed';
 
 /** What a task does, written into its job's spec. */
 export type SpecText = { runMs: number; cpu: number; fails?: boolean };
@@ -32,6 +32,9 @@
 
 const LATE_MS = 2_500;
 
+/** Delay of starts and stops in the mood `delayed`, in milliseconds; lists are prompt there. */
+const DELAY_MS = 300;
+
 const ANSWER_MS = 1;
 
 /** Time after which a caller gives up on an order, in milliseconds. */
@@ -126,10 +129,12 @@
     const carryOut = async <T extends HoldAnswer | OrderAnswer>(
       born: number,
       act: () => T,
+      isList = false,
     ): Promise<T | { type: 'noAnswer'; detail: string }> => {
       const { mood } = this;
-      const isLate = mood === 'late';
-      if (isLate) setTimeout(() => void (born === this.born && act()), LATE_MS);
+      const isLate = mood === 'late' || (mood === 'delayed' && !isList);
+      const delayMs = mood === 'late' ? LATE_MS : DELAY_MS;
+      if (isLate) setTimeout(() => void (born === this.born && act()), delayMs);
       await new Promise((resolve) => {
         setTimeout(resolve, ANSWER_MS);
       });
@@ -158,12 +163,16 @@
         if (waitMs > 0 && this.mood === 'well' && this.ends.every((e) => e.number <= lastEnd)) {
           await this.wait(waitMs);
         }
-        return carryOut(worker.born, (): HoldAnswer => {
-          const refusal = check(worker, token);
-          if (refusal && refusal.type !== 'accepted') return refusal;
-          if (leaseUntil !== undefined) this.extend(leaseUntil);
-          return { type: 'list', list: this.list(lastEnd) };
-        });
+        return carryOut(
+          worker.born,
+          (): HoldAnswer => {
+            const refusal = check(worker, token);
+            if (refusal && refusal.type !== 'accepted') return refusal;
+            if (leaseUntil !== undefined) this.extend(leaseUntil);
+            return { type: 'list', list: this.list(lastEnd) };
+          },
+          true,
+        );
       },
     };
   }
@@ -199,6 +208,7 @@
       task,
       worker: this.id,
       run,
+      runMs,
       cpu,
       from: performance.now(),
       to: Infinity,
@@ -226,10 +236,10 @@
     return {
       born: this.born,
       clock: this.clock(),
-      running: [...this.active.values()].map(({ name, run, from }) => ({
+      running: [...this.active.values()].map(({ name, run, from, runMs }) => ({
         task: name,
         run,
-        percent: Math.min(99, Math.floor((performance.now() - from) / 2)),
+        percent: Math.min(99, Math.floor((100 * (performance.now() - from)) / runMs)),
       })),
       ended: this.ends.map(({ number, name, run, how }) => ({
         number,
--- a/packages/proofs/tests/support/dispatchSchedule.ts
+++ b/packages/proofs/tests/support/dispatchSchedule.ts
@@ -13,6 +13,7 @@
     | 'silent'
     | 'answerLost'
     | 'late'
+    | 'delayed'
     | 'reborn'
     | 'takeOut';
   atMs: number;
@@ -30,6 +31,8 @@
   cpu: number;
   fails: boolean;
   leaveMs: number | undefined;
+  /** The client that has given up its call sends the job again. */
+  returns: boolean;
 };
 
 /** A whole schedule. */
@@ -42,7 +45,7 @@
 const LENGTH_MS = 4_000;
 
 /** Time in which every client has its answer, in milliseconds. */
-const SETTLE_MS = 9_000;
+const SETTLE_MS = 13_000;
 
 const STEP_MS = 10;
 
@@ -57,6 +60,7 @@
     'silent',
     'answerLost',
     'late',
+    'delayed',
     'reborn',
     'takeOut',
   ),
@@ -73,7 +77,8 @@
   runMs: fc.integer({ min: 5, max: 3_000 }),
   cpu: fc.integer({ min: 400, max: 1_500 }),
   fails: fc.boolean().map((flag) => flag),
-  leaveMs: fc.option(fc.integer({ min: 5, max: 700 }), { nil: undefined, freq: 4 }),
+  leaveMs: fc.option(fc.integer({ min: 5, max: 1_500 }), { nil: undefined, freq: 2 }),
+  returns: fc.boolean(),
 });
 
 /** Generates schedules. */
@@ -107,6 +112,9 @@
     late: () => {
       if (worker) worker.mood = isOn ? 'late' : 'well';
     },
+    delayed: () => {
+      if (worker) worker.mood = isOn ? 'delayed' : 'well';
+    },
     reborn: () => {
       if (isOn) worker?.reborn();
     },
@@ -128,7 +136,7 @@
     setTimeout(() => apply(world, item, true), item.atMs);
     setTimeout(() => apply(world, item, false), item.atMs + item.forMs);
   });
-  run.work.forEach(({ atMs, entry, tasks, runMs, cpu, fails, leaveMs }, index) => {
+  run.work.forEach(({ atMs, entry, tasks, runMs, cpu, fails, leaveMs, returns }, index) => {
     const id = (index + 1).toString(16).padStart(16, '0');
     const job = {
       id,
@@ -136,7 +144,7 @@
       spec: { runMs, cpu, fails: fails && index % 5 === 0 },
       estimateMs: runMs,
     };
-    setTimeout(() => void world.send(job, entry, leaveMs), atMs);
+    setTimeout(() => void world.send(job, entry, leaveMs, returns), atMs);
   });
   const until = performance.now() + LENGTH_MS + SETTLE_MS;
   while (
