--- a/marjorammast-app/src/dispatchEntry.ts
+++ b/marjorammast-app/src/dispatchEntry.ts
@@ -56,6 +56,9 @@
     random: Math.random,
     log,
   });
+  metrics.gauge('marjorammast_store_connected', '1 while the store answers', () =>
+    feed.isConnected ? 1 : 0,
+  );
   await serveHttp(createReadinessHttp(entry), readiness);
   await serveHttp(createClientHttp(entry, log), clients);
   await serveMetrics(metrics, settings.metrics);
--- a/packages/dispatch/src/ActiveJob.ts
+++ b/packages/dispatch/src/ActiveJob.ts
@@ -26,9 +26,6 @@
   /** True once a run may have started. */
   mayHaveRun = false;
 
-  /** True once tasks were offered to a worker. */
-  wasOffered = false;
-
   private doneCount = 0;
 
   private readonly waiters: ((outcome: JobOutcome) => void)[] = [];
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -312,7 +312,6 @@
         runs,
       });
       if (taken.length > 0) job.mayHaveRun = true;
-      job.wasOffered = true;
       const declined = runs.filter(([index]) => !taken.includes(index));
       if (declined.length > 0) {
         this.host.log.info(
--- a/packages/dispatch/src/job.ts
+++ b/packages/dispatch/src/job.ts
@@ -57,8 +57,7 @@
   | { type: 'unknownRoute' };
 
 /** Why a job was refused. */
-export type RefusalReason =
-  'noConfiguration' | 'stopping' | 'notSupported' | 'tooLarge' | 'noRoom' | 'noWorkers';
+export type RefusalReason = 'notSupported' | 'tooLarge' | 'noRoom' | 'noWorkers';
 
 /**
  * Names what a job asks for that is not served yet.
--- a/packages/settings/src/daemonSettings.ts
+++ b/packages/settings/src/daemonSettings.ts
@@ -60,7 +60,6 @@
   ...clusterDaemon,
   clients: address.describe('Address for clients.'),
   readiness: address.describe('Address on which the balancer asks for readiness.'),
-  seeds: z.array(address).default([]).describe('RPC addresses of entries to ask at the start.'),
 });
 
 /** Settings of the agent that gates a worker. */
--- a/packages/store/src/StoreFeed.ts
+++ b/packages/store/src/StoreFeed.ts
@@ -47,11 +47,6 @@
     return feed;
   }
 
-  /** Revision of the copy; negative while there is none. */
-  get current(): number {
-    return this.revision;
-  }
-
   /** True while the last call was answered. */
   get isConnected(): boolean {
     return this.failures === 0 && this.revision >= 0;
