--- a/packages/proofs/tests/support/MemoryWorker.ts
+++ b/packages/proofs/tests/support/MemoryWorker.ts
@@ -131,6 +131,8 @@
       act: () => T,
       isList = false,
     ): Promise<T | { type: 'noAnswer'; detail: string }> => {
+      // A dead agent sends nothing.
+      if (!isAlive()) return { type: 'noAnswer', detail: 'agent dead' };
       const { mood } = this;
       const isLate = mood === 'late' || (mood === 'delayed' && !isList);
       const delayMs = mood === 'late' ? LATE_MS : DELAY_MS;
