--- a/marjorammast-app/src/local/PortBlock.ts
+++ b/marjorammast-app/src/local/PortBlock.ts
@@ -49,6 +49,7 @@
    */
   next(): Promise<number> {
     const port = this.pending.then(() => this.take());
+    // The caller gets the error; whoever asks next is not held up by it.
     this.pending = port.catch(() => undefined);
     return port;
   }
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -146,6 +146,8 @@
   }
 
   private dispatch(): void {
+    clearTimeout(this.checkTimer);
+    if (this.queue.size === 0) return;
     const connections = [...this.host.connections()];
     const bestByService = new Map<string, number>();
     const bestOf = (service: string) => {
@@ -154,7 +156,6 @@
       return known;
     };
     this.order(bestOf).forEach((job) => this.place(job, connections, bestOf(job.route.service)));
-    clearTimeout(this.checkTimer);
     if (this.queue.size > 0) {
       this.checkTimer = setTimeout(() => this.dispatch(), QUEUE_CHECK_MS);
     }
