--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -1,4 +1,3 @@
-import { createHash } from 'node:crypto';
 import { createCallServer, sleep } from '@marjorammast/protocol';
 import type {
   CallServer,
@@ -11,7 +10,8 @@
 import type { Log } from '@marjorammast/telemetry';
 import { ActiveJob } from './ActiveJob';
 import { AgentConnection } from './AgentConnection';
-import { ANSWER_MARGIN_MS, MIN_RETRY_AFTER_MS, REACH, RENEW_PERIOD_MS } from './constants';
+import { ANSWER_MARGIN_MS, MIN_RETRY_AFTER_MS, RENEW_PERIOD_MS } from './constants';
+import { chooseAgents } from './chooseAgents';
 import { Dispatcher } from './Dispatcher';
 import { findRoute } from './findRoute';
 import { unsupportedFeature } from './job';
@@ -377,23 +377,9 @@
     else job.settle({ type: 'refused', reason: 'noRoom', retryAfterMs: MIN_RETRY_AFTER_MS });
   }
 
-  /** Agents of the own data centre first, then others, in an order of this entry's own. */
   private chooseAgents(): void {
-    const rank = ({ name }: ListedProcess) =>
-      createHash('md5').update(`${this.parts.name}>${name}`).digest('hex');
-    const isOut = ({ dataCenter }: ListedProcess) => this.rules.outDataCenters.includes(dataCenter);
-    const isOther = ({ dataCenter }: ListedProcess) => dataCenter !== this.parts.dataCenter;
-    const chosen = [...this.listed]
-      .map((agent) => ({ agent, rank: rank(agent) }))
-      .sort(
-        (a, b) =>
-          Number(isOut(a.agent)) - Number(isOut(b.agent)) ||
-          Number(isOther(a.agent)) - Number(isOther(b.agent)) ||
-          a.rank.localeCompare(b.rank),
-      )
-      .slice(0, REACH)
-      .map(({ agent }) => agent);
-    this.connect(chosen);
+    const { name, dataCenter } = this.parts;
+    this.connect(chooseAgents(this.listed, name, dataCenter, this.rules.outDataCenters));
   }
 
   private connect(chosen: readonly ListedProcess[]): void {
