--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -1,17 +1,17 @@
-import { countFitting, createCallServer, sleep, taskKey } from '@marjorammast/protocol';
+import { NO_RESOURCES, createCallServer, sleep, taskKey } from '@marjorammast/protocol';
 import type {
   CallServer,
-  DeclineReason,
   GateRules,
   Link,
   Params,
-  Resources,
   Result,
   RunEnd,
   WorkerView,
 } from '@marjorammast/protocol';
 import type { Log } from '@marjorammast/telemetry';
-import { ASSIGN_AGE_MS, OWNER_CHECK_MS, OWNER_SILENCE_MS, VIEW_PERIOD_MS } from './constants';
+import { admit } from './admit';
+import type { AdmissionView } from './admit';
+import { OWNER_CHECK_MS, OWNER_SILENCE_MS, VIEW_PERIOD_MS } from './constants';
 import { SlownessEstimate, findSlowRuns } from './SlownessEstimate';
 import { WorkerHealth } from './WorkerHealth';
 import { WorkerLife } from './WorkerLife';
@@ -49,8 +49,6 @@
 
 type Assignment = Params<'assign'>;
 
-const NOTHING: Resources = { cpu: 0, memoryMb: 0, accelerators: 0 };
-
 /** The one gate through which tasks reach a worker. */
 export class GateAgent {
   /** Answers the calls of entries. */
@@ -144,8 +142,8 @@
     return {
       service: life?.latest.service ?? '',
       labels: life?.latest.labels ?? [],
-      capacity: life?.latest.capacity ?? NOTHING,
-      free: life?.free ?? NOTHING,
+      capacity: life?.latest.capacity ?? NO_RESOURCES,
+      free: life?.free ?? NO_RESOURCES,
       state: reason ? 'closed' : soundness,
       reason,
       slowness: this.slowness.value,
@@ -251,7 +249,7 @@
 
   private assign(assignment: Assignment, link: Link): Result<'assign'> {
     this.hear(link);
-    const { reason, count } = this.admit(assignment, link);
+    const { reason, count } = admit(assignment, this.viewFor(assignment, link));
     const rows = assignment.runs.slice(0, count);
     rows.forEach(([index, run]) => this.take(assignment, index, run, link));
     const declined = assignment.runs.length - rows.length;
@@ -275,37 +273,23 @@
     return this.owners.get(link)?.entry ?? link.name;
   }
 
-  /** Decides how many of the runs may start, in their order. */
-  private admit(assignment: Assignment, link: Link): { count: number; reason?: DeclineReason } {
-    const { life } = this;
-    if (!life || this.obstacle || !this.owners.has(link)) return { count: 0, reason: 'closed' };
-    const age = this.parts.clock() - assignment.echo - assignment.heldMs;
-    if (age > ASSIGN_AGE_MS) return { count: 0, reason: 'stale' };
-    if (this.rules.outDataCenters.includes(this.parts.dataCenter)) {
-      return { count: 0, reason: 'dataCenterOut' };
-    }
-    const { latest } = life;
-    if (latest.service !== assignment.service) return { count: 0, reason: 'otherService' };
-    if (assignment.label && !latest.labels.includes(assignment.label)) {
-      return { count: 0, reason: 'missingLabel' };
-    }
-    if (assignment.runs.some(([index]) => this.isAtWork(assignment, index))) {
-      return { count: 0, reason: 'lowRun' };
-    }
-    return this.admitByRoom(life, assignment);
-  }
-
-  private admitByRoom(
-    life: WorkerLife,
-    { needs, runs, maxPerWorker, job, occurrence, step }: Assignment,
-  ): { count: number; reason?: DeclineReason } {
-    const room = countFitting(needs, life.free);
+  private viewFor(assignment: Assignment, link: Link): AdmissionView {
+    const { life, parts } = this;
+    const { job, occurrence, step, echo, heldMs, runs } = assignment;
     const isOfStep = ({ task }: Run) =>
       task.job === job && task.occurrence === occurrence && task.step === step;
-    const limit = maxPerWorker > 0 ? maxPerWorker - life.select(isOfStep).length : Infinity;
-    const trial = this.health.soundness === 'trial' ? 1 - life.size : Infinity;
-    const count = Math.max(0, Math.min(runs.length, room, limit, trial));
-    return { count, reason: limit <= count && limit < runs.length ? 'workerLimit' : 'room' };
+    return {
+      isOpen: life !== undefined && !this.obstacle && this.owners.has(link),
+      ageMs: parts.clock() - echo - heldMs,
+      isDataCenterOut: this.rules.outDataCenters.includes(parts.dataCenter),
+      service: life?.latest.service ?? '',
+      labels: life?.latest.labels ?? [],
+      free: life?.free ?? NO_RESOURCES,
+      runs: life?.size ?? 0,
+      runsOfStep: life?.select(isOfStep).length ?? 0,
+      isAtWork: runs.some(([index]) => this.isAtWork(assignment, index)),
+      isOnTrial: this.health.soundness === 'trial',
+    };
   }
 
   private isAtWork({ job, occurrence, step }: Assignment, index: number): boolean {
--- /dev/null
+++ b/packages/gate/tests/admit.test.ts
@@ -0,0 +1,88 @@
+import fc from 'fast-check';
+import type { Params } from '@marjorammast/protocol';
+import { admit } from '../src/admit';
+import type { AdmissionView } from '../src/admit';
+
+const needs = { cpu: 500, memoryMb: 10, accelerators: 0 };
+
+const assignment: Params<'assign'> = {
+  job: 'a',
+  occurrence: 0,
+  step: 0,
+  service: 'desk',
+  spec: '',
+  needs,
+  maxPerWorker: 0,
+  estimateMs: 100,
+  bestSlowness: 1,
+  runs: [
+    [0, 1],
+    [1, 1],
+    [2, 1],
+    [3, 1],
+  ],
+  echo: 0,
+  heldMs: 0,
+};
+
+const view: AdmissionView = {
+  isOpen: true,
+  ageMs: 10,
+  isDataCenterOut: false,
+  service: 'desk',
+  labels: ['a', 'rack-1'],
+  free: { cpu: 16_000, memoryMb: 32_000, accelerators: 0 },
+  runs: 0,
+  runsOfStep: 0,
+  isAtWork: false,
+  isOnTrial: false,
+};
+
+describe('admit', () => {
+  it('takes what fits', () => {
+    expect(admit(assignment, view).count).toBe(4);
+  });
+
+  it.each([
+    ['closed', { isOpen: false }],
+    ['stale', { ageMs: 251 }],
+    ['dataCenterOut', { isDataCenterOut: true }],
+    ['otherService', { service: 'other' }],
+    ['lowRun', { isAtWork: true }],
+  ] as const)('takes nothing when it is %s', (reason, fields) => {
+    expect(admit(assignment, { ...view, ...fields })).toEqual({ count: 0, reason });
+  });
+
+  it('asks for the label of the step', () => {
+    expect(admit({ ...assignment, label: 'rack-1' }, view).count).toBe(4);
+    expect(admit({ ...assignment, label: 'rack-2' }, view)).toEqual({
+      count: 0,
+      reason: 'missingLabel',
+    });
+  });
+
+  it('keeps to the limit of tasks of a step on one worker', () => {
+    const limited = { ...assignment, maxPerWorker: 3 };
+    expect(admit(limited, { ...view, runsOfStep: 1 })).toEqual({ count: 2, reason: 'workerLimit' });
+    expect(admit(limited, { ...view, runsOfStep: 5 }).count).toBe(0);
+  });
+
+  it('gives a worker on trial one task in all', () => {
+    expect(admit(assignment, { ...view, isOnTrial: true }).count).toBe(1);
+    expect(admit(assignment, { ...view, isOnTrial: true, runs: 1 }).count).toBe(0);
+  });
+
+  it('never takes more than fits in any dimension', () => {
+    const amount = fc.nat({ max: 4_000 });
+    const resources = fc.record({ cpu: amount, memoryMb: amount, accelerators: amount });
+    fc.assert(
+      fc.property(resources, resources, (each, free) => {
+        const { count } = admit({ ...assignment, needs: each }, { ...view, free });
+        expect(count * each.cpu).toBeLessThanOrEqual(free.cpu);
+        expect(count * each.memoryMb).toBeLessThanOrEqual(free.memoryMb);
+        expect(count * each.accelerators).toBeLessThanOrEqual(free.accelerators);
+      }),
+      { seed: 77 },
+    );
+  });
+});
