Take a job's latency objective from its own work

Cause: the objective was computed as stretch x estimate x slowness of the fastest quarter of the workers (0.6 on these sites), so that a worker of ordinary speed (1.2 to 1.4) seemed to miss it and got a job only once the objective was lost. Ruled out: stale views alone (the idle room stayed for seconds), slowed workers (seconds 2 to 9 have none). Change: ActiveJob.objectiveAt = arrival + stretch x estimate + fixed part.

--- a/packages/dispatch/src/ActiveJob.ts
+++ b/packages/dispatch/src/ActiveJob.ts
@@ -76,6 +76,15 @@
     return [...this.tasks.keys()].filter((index) => this.tasks[index]?.state.type === 'waiting');
   }
 
+  /**
+   * Monotonic time of the latency objective, in milliseconds: it is set by the work itself, not by
+   * how fast the workers at hand are.
+   */
+  get objectiveAt(): number {
+    const { route, step } = this;
+    return this.arrivedAt + route.stretch * step.estimateMs + route.targetLatencyMs;
+  }
+
   /** True when a run has started or may yet. */
   get isTouched(): boolean {
     return this.mayHaveRun || this.tasks.some(({ state }) => state.type === 'assigned');
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -29,10 +29,6 @@
 /** A run that an agent has been asked for and that has not ended. */
 type OpenRun = { job: ActiveJob; index: number; run: number };
 
-/** Latency objective of a job, on the monotonic clock. */
-const objectiveOf = ({ arrivedAt, route, step }: ActiveJob, slowness: number): number =>
-  arrivedAt + route.stretch * step.estimateMs * slowness + route.targetLatencyMs;
-
 /** Brings the tasks of accepted jobs to agents and their ends back to the jobs. */
 export class Dispatcher {
   /** Jobs with waiting tasks. */
@@ -167,7 +163,7 @@
     return [...this.queue]
       .map((job) => {
         const slowness = bestOf(job.route.service);
-        const objectiveAt = objectiveOf(job, slowness);
+        const { objectiveAt } = job;
         return { job, objectiveAt, isLost: now + job.step.estimateMs * slowness > objectiveAt };
       })
       .sort(
@@ -195,8 +191,7 @@
     bestSlowness: number,
   ): void {
     const now = performance.now();
-    const { step } = job;
-    const objectiveAt = objectiveOf(job, bestSlowness);
+    const { step, objectiveAt } = job;
     const refusal = job.isTouched ? undefined : this.refuse(job, connections, bestSlowness);
     if (refusal) {
       job.settle(refusal);
@@ -223,7 +218,7 @@
   ): JobOutcome | undefined {
     const now = performance.now();
     const { step, route, arrivedAt, deadlineAt } = job;
-    const spanMs = objectiveOf(job, bestSlowness) - arrivedAt;
+    const spanMs = job.objectiveAt - arrivedAt;
     const lastStart =
       Math.min(deadlineAt, arrivedAt + LATE_FACTOR * spanMs) - step.estimateMs * bestSlowness;
     if (now > lastStart) {
