Hand runs in doubt to the next life of a worker

Cause: an order names the worker by its id, which a worker that starts again keeps. A start that was on its way when the worker crashed is carried out by the next life, while the agent reported all runs of the old life as ended at once; the entry then started the task elsewhere beside it. Ruled out: the entry's wait after a lost agent (the agent's connection was open). Change: only runs that a list of the old life has shown end with it. The others are settled with the next life (stopped, barred, listed), or given up after 1,150 ms when there is none; the token rises from life to life.

The soak: real programs, loopback proxies, signals, moods of stand-ins, clients that call again and leave, a checker outside. Settings get advertisedRpc, since a proxy stands between entries and agents.

--- a/marjorammast-app/src/dispatchEntry.ts
+++ b/marjorammast-app/src/dispatchEntry.ts
@@ -63,7 +63,8 @@
   await serveHttp(createClientHttp(entry, log), clients);
   await serveMetrics(metrics, settings.metrics);
   const calls = await listen(rpc, entry.server, traffic);
-  void announce(platformStore, 'entries', { name, address: rpc, dataCenter }, log);
+  const address = settings.advertisedRpc ?? rpc;
+  void announce(platformStore, 'entries', { name, address, dataCenter }, log);
   log.info({ clients, dataCenter, pid: process.pid }, 'started');
   stopOnSignal(log, async () => {
     await entry.stop(NOTICE_MS, stopTimeoutMs);
--- a/marjorammast-app/src/gateAgent.ts
+++ b/marjorammast-app/src/gateAgent.ts
@@ -38,7 +38,7 @@
   void announce(
     createPlatformStore(settings.store),
     'agents',
-    { name, address: rpc, dataCenter },
+    { name, address: settings.advertisedRpc ?? rpc, dataCenter },
     log,
   );
   stopOnSignal(log, async () => {
--- a/marjorammast-app/src/local/DispatchDeployment.ts
+++ b/marjorammast-app/src/local/DispatchDeployment.ts
@@ -33,8 +33,8 @@
 /** Path prefix of the only queue. */
 export const QUEUE_PREFIX = '/claims/';
 
-const CONFIGURATION = {
-  version: 1,
+const configurationOf = (version: number) => ({
+  version,
   routes: [
     {
       name: 'claims',
@@ -50,7 +50,7 @@
     },
   ],
   services: [{ name: 'desk', rejects_overload: false }],
-};
+});
 
 const DATA_CENTERS = ['north', 'east'];
 
@@ -59,6 +59,11 @@
 
 const readSpec = (spec: string): TaskSpec => JSON.parse(spec) as TaskSpec;
 
+/** Gives the address under which a process reaches a place, such as that of a proxy between. */
+export type Detour = (from: string, place: string, address: string) => Promise<string>;
+
+const direct: Detour = (_from, _place, address) => Promise.resolve(address);
+
 /** Entries and agents as separate processes, beside stand-ins of store and workers. */
 export class DispatchDeployment {
   readonly store = PlatformStoreStandIn.create();
@@ -80,6 +85,7 @@
   private constructor(
     private readonly entryCount: number,
     private readonly workerCount: number,
+    private readonly detour: Detour,
   ) {}
 
   /**
@@ -87,10 +93,15 @@
    *
    * @param entryCount - number of entries
    * @param workerCount - number of workers, each with an agent
+   * @param detour - addresses under which the processes reach each other
    * @returns the running deployment
    */
-  static async create(entryCount: number, workerCount: number): Promise<DispatchDeployment> {
-    const deployment = new DispatchDeployment(entryCount, workerCount);
+  static async create(
+    entryCount: number,
+    workerCount: number,
+    detour: Detour = direct,
+  ): Promise<DispatchDeployment> {
+    const deployment = new DispatchDeployment(entryCount, workerCount, detour);
     await deployment.start();
     return deployment;
   }
@@ -100,6 +111,16 @@
     return this.folder;
   }
 
+  /** Writes the configuration as operators do. */
+  configure(version: number): void {
+    this.store.put('op/config', JSON.stringify(configurationOf(version)));
+  }
+
+  /** Data centre of a worker. */
+  dataCenterOf(worker: number): string {
+    return DATA_CENTERS[worker % DATA_CENTERS.length] ?? '';
+  }
+
   /** Starts an entry, or starts it again at the same addresses. */
   async startEntry(index: number): Promise<void> {
     const name = `entry-${index}`;
@@ -109,8 +130,9 @@
       clients: await this.addressOf(`${name}-clients`),
       readiness: await this.addressOf(`${name}-readiness`),
       rpc: await this.addressOf(`${name}-rpc`),
+      advertisedRpc: await this.pathTo('others', `${name}-rpc`),
       metrics: await this.addressOf(`${name}-metrics`),
-      store: await this.addressOf('store'),
+      store: await this.pathTo(name, 'store'),
       stopTimeoutMs: 5_000,
     });
   }
@@ -122,10 +144,11 @@
       name,
       dataCenter: DATA_CENTERS[index % DATA_CENTERS.length],
       workerReports: await this.addressOf(`${name}-reports`),
-      worker: await this.addressOf(`worker-${index}`),
+      worker: await this.pathTo(name, `worker-${index}`),
       rpc: await this.addressOf(`${name}-rpc`),
+      advertisedRpc: await this.pathTo('others', `${name}-rpc`),
       metrics: await this.addressOf(`${name}-metrics`),
-      store: await this.addressOf('store'),
+      store: await this.pathTo(name, 'store'),
       stopTimeoutMs: 5_000,
     });
   }
@@ -145,18 +168,25 @@
     tasks: number,
     spec: TaskSpec,
     fields: object = {},
+    signal?: AbortSignal,
   ): Promise<ClientAnswer> {
     const step = { count: tasks, cpu: spec.cpu, mem_mb: 10, est_runtime_ms: spec.runMs };
     const body = { spec: JSON.stringify(spec), steps: [step], best_effort: true, ...fields };
-    return this.call(`entry-${entry}-clients`, 'POST', `${QUEUE_PREFIX}${id}`, body);
+    return this.call(`entry-${entry}-clients`, 'POST', `${QUEUE_PREFIX}${id}`, body, signal);
   }
 
-  /** Calls a daemon by the name of its address. */
-  async call(place: string, method: string, path: string, body?: object): Promise<ClientAnswer> {
+  /** Calls a daemon by the name of its address; an aborted signal breaks the connection. */
+  async call(
+    place: string,
+    method: string,
+    path: string,
+    body?: object,
+    signal?: AbortSignal,
+  ): Promise<ClientAnswer> {
     const [host, port] = (await this.addressOf(place)).split(':');
     const headers = { host: QUEUE_HOST, 'content-type': 'application/json' };
     const response = await new Promise<IncomingMessage>((resolve, reject) => {
-      const call = request({ host, port, method, path, headers }, resolve);
+      const call = request({ host, port, method, path, headers, signal }, resolve);
       call.once('error', reject);
       call.end(body ? JSON.stringify(body) : undefined);
     });
@@ -226,7 +256,7 @@
   }
 
   private async start(): Promise<void> {
-    this.store.put('op/config', JSON.stringify(CONFIGURATION));
+    this.configure(1);
     this.servers.push(await serveHttp(this.store.routes(), await this.addressOf('store')));
     for (let index = 0; index < this.workerCount; index += 1) await this.startWorker(index);
     this.reports = setInterval(() => void this.report(), REPORT_MS);
@@ -262,6 +292,10 @@
     );
   }
 
+  private async pathTo(from: string, place: string): Promise<string> {
+    return this.detour(from, place, await this.addressOf(place));
+  }
+
   private async addressOf(place: string): Promise<string> {
     const port = this.ports.get(place) ?? (await localPorts.next());
     this.ports.set(place, port);
--- /dev/null
+++ b/marjorammast-app/src/soak.ts
@@ -0,0 +1,29 @@
+import { cac } from 'cac';
+import { createLog } from '@marjorammast/telemetry';
+import { Soak } from './soak/Soak';
+
+const run = async (): Promise<void> => {
+  const cli = cac('soak');
+  cli
+    .option('--seed <n>', 'Seed of the faults and of the clients', { default: 1 })
+    .option('--minutes <m>', 'Time in which faults are made', { default: 1 })
+    .option('--entries <n>', 'Entry processes', { default: 3 })
+    .option('--workers <n>', 'Workers, each with an agent process', { default: 4 })
+    .help();
+  const { options } = cli.parse();
+  if (options.help) return;
+  const [seed, minutes, entries, workers] = ['seed', 'minutes', 'entries', 'workers'].map((name) =>
+    Number(options[name]),
+  ) as [number, number, number, number];
+  if (![seed, minutes, entries, workers].every((value) => value > 0)) {
+    throw new Error('--seed, --minutes, --entries and --workers take numbers above 0');
+  }
+  const plan = { seed, durationMs: minutes * 60_000, entries, workers };
+  const log = createLog('soak', 'info');
+  const { violations, outcomes, ...seen } = await Soak.create(plan, log).run();
+  violations.forEach((violation) => log.error({ violation }, 'violation'));
+  log.info({ seed, ...seen, ...outcomes, violations: violations.length }, 'soak_ended');
+  process.exit(violations.length > 0 ? 1 : 0);
+};
+
+void run();
--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -11,11 +11,11 @@
 import type { Log } from '@marjorammast/telemetry';
 import { admit } from './admit';
 import type { AdmissionView } from './admit';
-import { OWNER_CHECK_MS, OWNER_SILENCE_MS, VIEW_PERIOD_MS } from './constants';
+import { DOUBT_MS, OWNER_CHECK_MS, OWNER_SILENCE_MS, VIEW_PERIOD_MS } from './constants';
 import { SlownessEstimate, findSlowRuns } from './SlownessEstimate';
 import { WorkerHealth } from './WorkerHealth';
 import { WorkerLife } from './WorkerLife';
-import type { Run } from './WorkerLife';
+import type { LifeLegacy, Run } from './WorkerLife';
 import type { WorkerPort, WorkerReport } from './WorkerPort';
 
 /** Counts and timings that an agent gives. */
@@ -56,6 +56,9 @@
 
   private life: WorkerLife | undefined;
 
+  /** What the last life of the worker has left to the next. */
+  private legacy: LifeLegacy = { token: 0, doubtful: [] };
+
   private health = this.createHealth();
 
   private rules: GateRules = { revision: 0, outDataCenters: [] };
@@ -167,15 +170,17 @@
     this.slowness = SlownessEstimate.create();
     const { id, born, service, capacity } = report;
     this.parts.log.info({ worker: id, born, service, cpu: capacity.cpu }, 'worker_found');
-    this.life = WorkerLife.create(report, {
+    const host = {
       port: this.parts.port,
-      ended: (run, how) => this.noteEnd(run, how),
-      unhealthy: (run) => this.noteFailure(run, 'unhealthy'),
+      ended: (run: Run, how: RunEnd) => this.noteEnd(run, how),
+      unhealthy: (run: Run) => this.noteFailure(run, 'unhealthy'),
       changed: () => this.scheduleView(),
-      findSlow: (runs) => this.findSlow(runs),
+      findSlow: (runs: readonly Run[]) => this.findSlow(runs),
       replaced: () => this.endLife('another life answered'),
       log: this.parts.log,
-    });
+    };
+    this.life = WorkerLife.create(report, host, this.legacy);
+    this.legacy = { ...this.legacy, doubtful: [] };
     this.scheduleView();
   }
 
@@ -185,10 +190,19 @@
     this.life = undefined;
     const { id, born } = life.identity;
     this.parts.log.info({ worker: id, born, reason, runs: life.size }, 'worker_ended');
-    life.end();
+    this.legacy = life.end();
+    const { doubtful } = this.legacy;
+    if (doubtful.length > 0) setTimeout(() => this.giveUp(doubtful), DOUBT_MS);
     this.scheduleView();
   }
 
+  /** Without a next life, doubtful runs have ended once their lease has. */
+  private giveUp(doubtful: readonly Run[]): void {
+    if (this.legacy.doubtful !== doubtful) return;
+    this.legacy = { ...this.legacy, doubtful: [] };
+    doubtful.forEach((run) => this.noteEnd(run, 'lapsed'));
+  }
+
   private createServer(): CallServer {
     return createCallServer({
       attach: ({ entry, rules }, link) => this.attach(entry, rules, link),
@@ -312,6 +326,7 @@
         stopAs: 'stopped',
         percent: 0,
         progressAt: now,
+        isListed: false,
       },
       spec,
     );
--- a/packages/gate/src/WorkerLife.ts
+++ b/packages/gate/src/WorkerLife.ts
@@ -45,6 +45,16 @@
   stopAs: 'stopped' | 'stalled';
   percent: number;
   progressAt: number;
+  /** True once a list of this life of the worker has shown the run. */
+  isListed: boolean;
+};
+
+/** What a life of a worker takes over from the one before. */
+export type LifeLegacy = {
+  /** Highest token that the agent has used: an order of then may have reached this life. */
+  token: number;
+  /** Runs whose start may have been carried out by either life. */
+  doubtful: readonly Run[];
 };
 
 /** What a life of a worker tells its agent. */
@@ -94,19 +104,22 @@
   private constructor(
     private report: WorkerReport,
     private readonly host: WorkerLifeHost,
+    legacy: LifeLegacy,
   ) {
     this.identity = { id: report.id, born: report.born };
-    this.token = Math.max(1, Math.floor(report.clock));
+    this.token = Math.max(1, Math.floor(report.clock), legacy.token + 1);
     this.workerClock = report.clock;
   }
 
   /**
    * @param report - first report of this life that the agent has received
    * @param host - what the life tells its agent
+   * @param legacy - what is left of the life before
    * @returns a life whose runs are being listed
    */
-  static create(report: WorkerReport, host: WorkerLifeHost): WorkerLife {
-    const life = new WorkerLife(report, host);
+  static create(report: WorkerReport, host: WorkerLifeHost, legacy: LifeLegacy): WorkerLife {
+    const life = new WorkerLife(report, host, legacy);
+    legacy.doubtful.forEach((run) => life.inherit(run));
     void life.watchEnds();
     life.renewal = setInterval(() => void life.renew(), RENEW_PERIOD_MS);
     return life;
@@ -195,13 +208,25 @@
     if (!wasStarting) void this.settle(run);
   }
 
-  /** Ends the supervision: the worker is gone or a new life has begun. */
-  end(): void {
-    if (this.isOver) return;
+  /**
+   * Ends the supervision: the worker is gone or a new life has begun. Listed runs have ended with
+   * it; the start of any other may be carried out by the next life.
+   *
+   * @returns what the next life takes over
+   */
+  end(): LifeLegacy {
     this.isOver = true;
     clearInterval(this.renewal);
-    [...this.runs.values()].forEach((run) => this.finish(run, 'lapsed'));
+    const doubtful = this.select(({ isListed }) => !isListed);
+    this.select(({ isListed }) => isListed).forEach((run) => this.finish(run, 'lapsed'));
     this.host.changed();
+    return { token: this.token, doubtful };
+  }
+
+  private inherit(run: Run): void {
+    this.runs.set(taskKey(run.task), run);
+    this.host.log.info({ task: taskKey(run.task), run: run.run }, 'run_inherited');
+    void this.settle(run);
   }
 
   private get order(): { worker: WorkerIdentity; token: number } {
@@ -382,6 +407,7 @@
   private noteProgress({ task, run, percent }: ListedRun): boolean {
     const known = this.find(task);
     if (!known || known.run !== run) return false;
+    known.isListed = true;
     if (known.state === 'starting') known.state = 'running';
     if (percent > known.percent) {
       known.percent = percent;
--- a/packages/gate/src/constants.ts
+++ b/packages/gate/src/constants.ts
@@ -48,3 +48,9 @@
 
 /** Time without progress after which a run is stopped, in milliseconds. */
 export const STALL_MS = 400;
+
+/**
+ * Time after the end of a worker's life in which a start that was on its way may still be at work,
+ * in milliseconds: the longest lease that workers grant, on the slowest clock, and the end of the run.
+ */
+export const DOUBT_MS = 1_150;
--- a/packages/gate/tests/SlownessEstimate.test.ts
+++ b/packages/gate/tests/SlownessEstimate.test.ts
@@ -13,6 +13,7 @@
   stopAs: 'stopped',
   percent,
   progressAt: 0,
+  isListed: true,
 });
 
 const jobs = ['a', 'b', 'c', 'd'];
--- a/packages/proofs/tests/support/MemoryWorker.ts
+++ b/packages/proofs/tests/support/MemoryWorker.ts
@@ -127,7 +127,6 @@
   /** Calls as one agent makes them; those of a dead agent get no answer. */
   port(isAlive: () => boolean): WorkerPort {
     const carryOut = async <T extends HoldAnswer | OrderAnswer>(
-      born: number,
       act: () => T,
       isList = false,
     ): Promise<T | { type: 'noAnswer'; detail: string }> => {
@@ -136,7 +135,8 @@
       const { mood } = this;
       const isLate = mood === 'late' || (mood === 'delayed' && !isList);
       const delayMs = mood === 'late' ? LATE_MS : DELAY_MS;
-      if (isLate) setTimeout(() => void (born === this.born && act()), delayMs);
+      // An order names the worker by its id: also a later life of that id carries it out.
+      if (isLate) setTimeout(act, delayMs);
       await new Promise((resolve) => {
         setTimeout(resolve, ANSWER_MS);
       });
@@ -147,34 +147,30 @@
       });
       return { type: 'noAnswer', detail: mood };
     };
-    const check = (worker: { born: number }, token: number): OrderAnswer | undefined => {
-      if (worker.born !== this.born) return { type: 'refused', reason: 'otherLife' };
+    const check = (worker: { id: string }, token: number): OrderAnswer | undefined => {
+      if (worker.id !== this.id) return { type: 'refused', reason: 'otherLife' };
       if (token < this.token) return { type: 'refused', reason: 'superseded', clock: this.clock() };
       this.token = token;
       return undefined;
     };
     return {
       start: ({ worker, token, task, run, spec, leaseUntil }) =>
-        carryOut(worker.born, (): OrderAnswer => {
+        carryOut((): OrderAnswer => {
           const refusal = check(worker, token);
           return refusal ?? this.start(task, run, spec, leaseUntil);
         }),
       stop: ({ worker, token, task, run }) =>
-        carryOut(worker.born, (): OrderAnswer => check(worker, token) ?? this.stop(task, run)),
+        carryOut((): OrderAnswer => check(worker, token) ?? this.stop(task, run)),
       hold: async ({ worker, token, lastEnd, leaseUntil, waitMs }) => {
         if (waitMs > 0 && this.mood === 'well' && this.ends.every((e) => e.number <= lastEnd)) {
           await this.wait(waitMs);
         }
-        return carryOut(
-          worker.born,
-          (): HoldAnswer => {
-            const refusal = check(worker, token);
-            if (refusal && refusal.type !== 'accepted') return refusal;
-            if (leaseUntil !== undefined) this.extend(leaseUntil);
-            return { type: 'list', list: this.list(lastEnd) };
-          },
-          true,
-        );
+        return carryOut((): HoldAnswer => {
+          const refusal = check(worker, token);
+          if (refusal && refusal.type !== 'accepted') return refusal;
+          if (leaseUntil !== undefined) this.extend(leaseUntil);
+          return { type: 'list', list: this.list(lastEnd) };
+        }, true);
       },
     };
   }
--- a/packages/settings/src/daemonSettings.ts
+++ b/packages/settings/src/daemonSettings.ts
@@ -50,6 +50,9 @@
   dataCenter: common.dataCenter,
   logLevel: common.logLevel,
   rpc: address.describe('Address for other processes of the system.'),
+  advertisedRpc: address
+    .optional()
+    .describe('Address under which others reach `rpc`, where it differs.'),
   metrics: address.describe('Address on which metrics are served as text.'),
   store: address.describe("Address of the platform's store."),
   stopTimeoutMs: common.stopTimeoutMs,
--- a/packages/standins/src/PlatformStoreStandIn.ts
+++ b/packages/standins/src/PlatformStoreStandIn.ts
@@ -1,6 +1,7 @@
 import { Hono } from 'hono';
 import type { Context } from 'hono';
 import { z } from 'zod';
+import { sleep } from '@marjorammast/protocol';
 import { Waiters, forever } from './Waiters';
 
 type Item = { key: string; value: string; revision: number; created: number; lease: number };
@@ -15,8 +16,13 @@
 
 const PAGE_SIZE = 500;
 
-/** How the stand-in treats calls: `refuse` answers 503, `silent` not at all. */
-export type StoreMood = 'well' | 'refuse' | 'silent';
+/**
+ * How the stand-in treats calls: `refuse` answers 503, `silent` not at all; `answerLost` carries
+ * them out without an answer; `slow` takes half a second.
+ */
+export type StoreMood = 'well' | 'refuse' | 'silent' | 'answerLost' | 'slow';
+
+const SLOW_MS = 500;
 
 /** Stand-in of the platform's store, over its HTTP protocol. */
 export class PlatformStoreStandIn {
@@ -78,8 +84,13 @@
   routes(): Hono {
     const app = new Hono();
     app.use(async (context, next) => {
-      if (this.mood === 'silent') await forever();
-      return this.mood === 'refuse' ? context.json({}, 503) : next();
+      const { mood } = this;
+      if (mood === 'silent') await forever();
+      if (mood === 'slow') await sleep(SLOW_MS);
+      if (mood === 'refuse') return context.json({}, 503);
+      await next();
+      if (mood === 'answerLost') await forever();
+      return undefined;
     });
     app.get('/api/kv-range', (context) => this.range(context));
     app.get('/api/kv-watch', (context) => this.watch(context));
--- a/packages/standins/src/WorkerStandIn.ts
+++ b/packages/standins/src/WorkerStandIn.ts
@@ -1,6 +1,7 @@
 import { Hono } from 'hono';
 import type { Context } from 'hono';
 import { z } from 'zod';
+import { sleep } from '@marjorammast/protocol';
 import type { Resources } from '@marjorammast/protocol';
 import { Waiters, forever } from './Waiters';
 
@@ -26,6 +27,8 @@
   | 'silent'
   /** Orders are carried out, and no answer is given. */
   | 'answerLost'
+  /** Orders get no answer and are carried out much later. */
+  | 'late'
   /** Runs make no progress. */
   | 'stuck';
 
@@ -38,7 +41,15 @@
 };
 
 /** One start or end, as the worker saw it. */
-export type WorkerEvent = { at: number; task: string; run: number; what: string };
+export type WorkerEvent = {
+  /** Monotonic time, in milliseconds. */
+  at: number;
+  worker: string;
+  task: string;
+  run: number;
+  /** `start`, or how the run ended; `crashed` when its worker did. */
+  what: string;
+};
 
 const startSchema = z.object({
   task: z.string(),
@@ -63,6 +74,9 @@
 
 const LIST_LIMIT = 500;
 
+/** Delay of orders in the mood `late`, in milliseconds. */
+const LATE_MS = 2_500;
+
 /** Stand-in of a worker of the platform, over its HTTP protocol. */
 export class WorkerStandIn {
   mood: WorkerMood = 'well';
@@ -75,9 +89,12 @@
   /** Moments at which more ran than fits. */
   readonly overloads: string[] = [];
 
-  readonly born = Date.now();
+  /** Rate of its clock; 0.98 is as slow as is allowed. */
+  clockRate = 1;
 
-  private readonly startedAt = performance.now();
+  private born = Date.now();
+
+  private startedAt = performance.now();
 
   private readonly runs = new Map<string, RunState>();
 
@@ -138,9 +155,11 @@
   routes(): Hono {
     const app = new Hono();
     app.use(async (_, next) => {
-      if (this.mood === 'silent') await forever();
+      const { mood } = this;
+      if (mood === 'silent') await forever();
+      if (mood === 'late') await sleep(LATE_MS);
       await next();
-      if (this.mood === 'answerLost') await forever();
+      if (mood === 'answerLost' || mood === 'late') await forever();
     });
     app.post('/api/run-start', async (context) => this.start(context, await context.req.json()));
     app.post('/api/run-stop', async (context) => this.stop(context, await context.req.json()));
@@ -151,12 +170,29 @@
   /** Ends everything, as a crash does. */
   halt(): void {
     clearTimeout(this.leaseTimer);
-    this.runs.forEach(({ timer }) => clearTimeout(timer));
+    this.runs.forEach(({ task, run, timer }) => {
+      clearTimeout(timer);
+      this.record(task, run, 'crashed');
+    });
     this.runs.clear();
   }
 
+  /** Crashes and starts again under the same id, knowing nothing of before. */
+  beginLife(): void {
+    this.halt();
+    this.born = Math.max(Date.now(), this.born + 1);
+    this.startedAt = performance.now();
+    this.highestRuns.clear();
+    this.ends = [];
+    this.endCount = 0;
+    this.token = 0;
+    this.leaseUntil = 0;
+    this.sequence = 0;
+    this.state = 'ready';
+  }
+
   private clock(): number {
-    return Math.round(performance.now() - this.startedAt) + 1;
+    return Math.round((performance.now() - this.startedAt) * this.clockRate) + 1;
   }
 
   private refuse(context: Context, reason: string): Response {
@@ -174,7 +210,8 @@
     if (limited <= this.leaseUntil) return;
     this.leaseUntil = limited;
     clearTimeout(this.leaseTimer);
-    this.leaseTimer = setTimeout(() => this.lapse(), limited - this.clock());
+    const leftMs = (limited - this.clock()) / this.clockRate;
+    this.leaseTimer = setTimeout(() => this.lapse(), Math.ceil(leftMs));
   }
 
   private lapse(): void {
@@ -259,7 +296,7 @@
   }
 
   private record(task: string, run: number, what: string): void {
-    this.events.push({ at: performance.now(), task, run, what });
+    this.events.push({ at: performance.now(), worker: this.traits.id, task, run, what });
   }
 
   private checkRoom(): void {
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -14,6 +14,7 @@
   'storeStandIn',
   'targetStandIn',
   'agentFleet',
+  'soak',
 ];
 
 // Error messages are in English; the other languages of the schema library take memory.
