--- a/marjorammast-app/src/soak.ts
+++ b/marjorammast-app/src/soak.ts
@@ -2,6 +2,9 @@
 import { createLog } from '@marjorammast/telemetry';
 import { Soak } from './soak/Soak';
 
+/** Time in which the log is written at the end, in milliseconds. */
+const LOG_MS = 500;
+
 const run = async (): Promise<void> => {
   const cli = cac('soak');
   cli
@@ -23,7 +26,9 @@
   const { violations, outcomes, ...seen } = await Soak.create(plan, log).run();
   violations.forEach((violation) => log.error({ violation }, 'violation'));
   log.info({ seed, ...seen, ...outcomes, violations: violations.length }, 'soak_ended');
-  process.exit(violations.length > 0 ? 1 : 0);
+  process.exitCode = violations.length > 0 ? 1 : 0;
+  // Whatever is still open must not keep the program; the log gets time to be written.
+  setTimeout(() => process.exit(), LOG_MS).unref();
 };
 
 void run();
--- a/marjorammast-app/src/soak/Soak.ts
+++ b/marjorammast-app/src/soak/Soak.ts
@@ -65,6 +65,9 @@
 
   private readonly pending = new Set<Promise<unknown>>();
 
+  /** Data centres that are out. */
+  private readonly outZones = new Set<string>();
+
   private faultCount = 0;
 
   private version = 1;
@@ -360,6 +363,8 @@
     const zone = pick < 0.5 ? 'north' : 'east';
     const isThere = (worker: string) =>
       this.system.dataCenterOf(Number(worker.split('-')[1])) === zone;
+    if (this.outZones.has(zone)) return undefined;
+    this.outZones.add(zone);
     const key = `op/evacuate/${zone}`;
     this.system.store.put(key, '{}');
     const since = performance.now() + BOUNDS.evacuateMs;
@@ -367,6 +372,7 @@
     const undo = async () => {
       await sleep(BOUNDS.evacuateMs + forMs);
       open();
+      this.outZones.delete(zone);
       this.system.store.put(key, undefined);
     };
     return { place: '', isPlanned: true, undo };
