--- a/packages/proofs/tests/support/DispatchWorld.ts
+++ b/packages/proofs/tests/support/DispatchWorld.ts
@@ -293,7 +293,11 @@
  * @param world - what was seen
  * @returns every broken promise
  */
-export const checkDispatch = ({ runs, overloads, answers }: DispatchWorld): Violation[] => {
+export const checkDispatch = ({
+  runs,
+  overloads,
+  answers,
+}: Pick<DispatchWorld, 'runs' | 'overloads' | 'answers'>): Violation[] => {
   const byTask = new Map<string, SeenRun[]>();
   runs.forEach((run) => byTask.set(run.task, [...(byTask.get(run.task) ?? []), run]));
   const twice = [...byTask.values()].flatMap((list) => {
