--- a/marjorammast-app/src/soak/Soak.ts
+++ b/marjorammast-app/src/soak/Soak.ts
@@ -47,6 +47,9 @@
 
 const POLL_MS = 50;
 
+/** Rate of the slowest clock that a worker may have. */
+const SLOW_CLOCK = 0.98;
+
 const PROBES = 10;
 
 const FAILED_ATTEMPTS = 2;
@@ -110,6 +113,9 @@
       this.detour(from, place, address),
     );
     this.deployment = deployment;
+    deployment.workers
+      .filter((_, index) => index % 2 === 1)
+      .forEach((worker) => worker.beginLife(SLOW_CLOCK));
     try {
       return await this.play(deployment);
     } finally {
@@ -330,7 +336,6 @@
     const worker = this.system.workers[index];
     if (!worker) return undefined;
     worker.mood = mood;
-    worker.clockRate = pick < 0.5 ? 0.98 : 1;
     const undo = () => {
       worker.mood = 'well';
     };
