--- a/marjorammast-app/src/soak/Soak.ts
+++ b/marjorammast-app/src/soak/Soak.ts
@@ -1,15 +1,12 @@
 import { sleep } from '@marjorammast/protocol';
-import type { StoreMood, WorkerMood } from '@marjorammast/standins';
 import type { Log } from '@marjorammast/telemetry';
 import { createRandom } from '../bench/workload';
 import { DispatchDeployment } from '../local/DispatchDeployment';
 import type { Daemon } from '../local/DispatchDeployment';
-import { localPorts } from '../local/PortBlock';
-import { parseAddress } from '../settings';
 import { drawFault } from './faults';
-import type { Fault, FaultKind } from './faults';
-import { LoopbackProxy } from './LoopbackProxy';
-import type { ProxyMood } from './LoopbackProxy';
+import type { Fault } from './faults';
+import { FaultEffects } from './FaultEffects';
+import { LinkProxies } from './LinkProxies';
 import { SoakChecker } from './SoakChecker';
 import { SoakClients } from './SoakClients';
 
@@ -33,14 +30,11 @@
   logs: string;
 };
 
-/** A fault at work: where, and how it ends. */
-type Effect = { place: string; isPlanned?: boolean; undo?: () => unknown };
+/** What a running soak works with. */
+type Scene = { deployment: DispatchDeployment; effects: FaultEffects; clients: SoakClients };
 
-/** Bounds of the promises, in milliseconds; those of the operators' sheets. */
-const BOUNDS = { evacuateMs: 5_000, leaveMs: 2_000, recoveryMs: 12_000 };
-
-/** Time from SIGTERM to SIGKILL, in milliseconds. */
-const GRACE_MS = 6_000;
+/** Time in which service is back after a loss of power, from the operators' sheets, in milliseconds. */
+const RECOVERY_MS = 12_000;
 
 /** Time after the last fault until all must be well, in milliseconds. */
 const SETTLE_MS = 6_000;
@@ -54,29 +48,21 @@
 
 const FAILED_ATTEMPTS = 2;
 
+const daemonsOf = ({ entries, agents }: DispatchDeployment): Daemon[] => [...entries, ...agents];
+
 const names = (kind: string, count: number): string[] =>
   Array.from({ length: count }, (_, index) => `${kind}-${index}`);
 
 /** Real programs under faults from outside, with clients and a checker. */
 export class Soak {
-  private readonly proxies = new Map<string, LoopbackProxy>();
+  private readonly links = LinkProxies.create();
 
   private readonly seenEvents: number[] = [];
 
-  /** Daemons that were ended on purpose. */
-  private readonly ended = new Set<Daemon>();
-
   private readonly pending = new Set<Promise<unknown>>();
 
-  /** Data centres that are out. */
-  private readonly outZones = new Set<string>();
-
   private faultCount = 0;
 
-  private version = 1;
-
-  private deployment: DispatchDeployment | undefined;
-
   private readonly random: () => number;
 
   private readonly checker: SoakChecker;
@@ -109,39 +95,45 @@
    */
   async run(): Promise<SoakReport> {
     const { entries, workers } = this.plan;
-    const deployment = await DispatchDeployment.create(entries, workers, (from, place, address) =>
-      this.detour(from, place, address),
+    const deployment = await DispatchDeployment.create(entries, workers, (...path) =>
+      this.links.detour(...path),
     );
-    this.deployment = deployment;
+    const effects = FaultEffects.create({
+      deployment,
+      links: this.links,
+      close: (...demand) => this.checker.close(...demand),
+    });
     deployment.workers
       .filter((_, index) => index % 2 === 1)
       .forEach((worker) => worker.beginLife(SLOW_CLOCK));
     try {
-      return await this.play(deployment);
+      return await this.play(deployment, effects);
     } finally {
-      [...deployment.entries, ...deployment.agents].forEach((daemon) => this.ended.add(daemon));
+      effects.noteEnds(daemonsOf(deployment));
       await deployment.stop();
-      this.proxies.forEach((proxy) => proxy.close());
+      this.links.close();
     }
   }
 
-  private async play(deployment: DispatchDeployment): Promise<SoakReport> {
+  private async play(deployment: DispatchDeployment, effects: FaultEffects): Promise<SoakReport> {
     const { entries, durationMs, seed } = this.plan;
+    const collect = () => this.collect(deployment, effects);
     const clients = SoakClients.create({
       deployment,
       entries,
       random: createRandom(seed + 1),
       finished: (job) => {
-        this.collect();
+        collect();
         this.checker.takeJob(job);
       },
     });
-    const collector = setInterval(() => this.collect(), POLL_MS);
+    const collector = setInterval(collect, POLL_MS);
     const end = performance.now() + durationMs;
-    await Promise.all([clients.run(end), this.makeFaults(end, clients)]);
-    await this.checkRest(clients);
+    const scene = { deployment, effects, clients };
+    await Promise.all([clients.run(end), this.makeFaults(end, scene)]);
+    await this.checkRest(scene);
     clearInterval(collector);
-    this.collect();
+    collect();
     return {
       violations: this.checker.violations,
       jobs: clients.jobs,
@@ -152,42 +144,28 @@
     };
   }
 
-  private get system(): DispatchDeployment {
-    if (!this.deployment) throw new Error('the soak has not begun');
-    return this.deployment;
-  }
-
-  /** Puts one proxy before each place for each process that reaches it. */
-  private async detour(from: string, place: string, address: string): Promise<string> {
-    const name = `${from}>${place}`;
-    const port = await localPorts.next();
-    const targetPort = parseAddress(address).port;
-    this.proxies.get(name)?.close();
-    this.proxies.set(name, await LoopbackProxy.create(port, targetPort));
-    return `127.0.0.1:${port}`;
-  }
-
-  private collect(): void {
-    const fresh = this.system.workers.flatMap(({ events }, index) => {
+  private collect(deployment: DispatchDeployment, effects: FaultEffects): void {
+    const fresh = deployment.workers.flatMap(({ events }, index) => {
       const from = this.seenEvents[index] ?? 0;
       this.seenEvents[index] = events.length;
       return events.slice(from);
     });
     this.checker.takeEvents(fresh);
-    [...this.system.entries, ...this.system.agents]
-      .filter((daemon) => daemon.process.exitCode !== null && !this.ended.has(daemon))
+    daemonsOf(deployment)
+      .filter((daemon) => daemon.process.exitCode !== null && !effects.hasEnded(daemon))
       .forEach((daemon) => {
-        this.ended.add(daemon);
+        effects.noteEnds([daemon]);
         this.checker.report(`own end: ${daemon.name} exited with ${daemon.process.exitCode}`);
       });
   }
 
-  private async makeFaults(end: number, clients: SoakClients): Promise<void> {
+  private async makeFaults(end: number, scene: Scene): Promise<void> {
     while (performance.now() < end) {
       const fault = drawFault(this.random);
       await sleep(fault.pauseMs);
       this.faultCount += 1;
-      const made = fault.kind === 'powerLoss' ? this.losePower(fault, clients) : this.make(fault);
+      const made =
+        fault.kind === 'powerLoss' ? this.losePower(fault, scene) : this.make(fault, scene);
       this.pending.add(made);
       void made.finally(() => this.pending.delete(made));
       // Nothing is judged beside a loss of power.
@@ -196,8 +174,8 @@
     await Promise.all(this.pending);
   }
 
-  private async make(fault: Fault): Promise<void> {
-    const effect = this.begin(fault);
+  private async make(fault: Fault, { effects }: Scene): Promise<void> {
+    const effect = effects.begin(fault);
     if (!effect) return;
     const { kind, forMs } = fault;
     const { place, isPlanned = false, undo } = effect;
@@ -210,205 +188,27 @@
     this.log.info({ kind, place }, 'fault_ends');
   }
 
-  private begin(fault: Fault): Effect | undefined {
-    const effects: Record<FaultKind, () => Effect | undefined> = {
-      stopEntry: () => this.stop('entry', fault),
-      stopAgent: () => this.stop('agent', fault),
-      killEntry: () => this.kill('entry', fault),
-      killAgent: () => this.kill('agent', fault),
-      freezeEntry: () => this.freeze('entry', fault),
-      freezeAgent: () => this.freeze('agent', fault),
-      hangUp: () => this.hangUp(fault),
-      slowLink: () => this.bend('slow', fault),
-      silentLink: () => this.bend('silent', fault),
-      muteLink: () => this.bend('mute', fault),
-      stuckLink: () => this.breakLink((proxy) => proxy.stick(), fault),
-      resetLink: () => this.breakLink((proxy) => proxy.reset(), fault),
-      storeRefuses: () => this.upset('refuse'),
-      storeSilent: () => this.upset('silent'),
-      storeSlow: () => this.upset('slow'),
-      storeAnswerLost: () => this.upset('answerLost'),
-      storeForgets: () => this.forget(),
-      workerSilent: () => this.annoy('silent', fault),
-      workerAnswerLost: () => this.annoy('answerLost', fault),
-      workerLate: () => this.annoy('late', fault),
-      workerStuck: () => this.annoy('stuck', fault),
-      workerReborn: () => this.rebear(fault),
-      workerLeaves: () => this.leave(fault),
-      evacuate: () => this.evacuate(fault),
-      configure: () => this.configure(),
-      powerLoss: () => undefined,
-    };
-    return effects[fault.kind]();
-  }
-
-  /** A daemon that runs and that no other fault has ended. */
-  private pickDaemon(role: 'entry' | 'agent', { pick }: Fault): [Daemon, number] | undefined {
-    const daemons = role === 'entry' ? this.system.entries : this.system.agents;
-    const index = Math.floor(pick * daemons.length);
-    const daemon = daemons[index];
-    return daemon && !this.ended.has(daemon) ? [daemon, index] : undefined;
-  }
-
-  private restart(role: 'entry' | 'agent', index: number): Promise<void> {
-    return role === 'entry' ? this.system.startEntry(index) : this.system.startAgent(index);
-  }
-
-  private stop(role: 'entry' | 'agent', fault: Fault): Effect | undefined {
-    const [daemon, index] = this.pickDaemon(role, fault) ?? [];
-    if (!daemon || index === undefined) return undefined;
-    this.ended.add(daemon);
-    daemon.process.kill('SIGTERM');
-    const timer = setTimeout(() => daemon.process.kill('SIGKILL'), GRACE_MS);
-    const undo = async () => {
-      await this.system.untilExited(daemon);
-      clearTimeout(timer);
-      await this.restart(role, index);
-    };
-    return { place: daemon.name, isPlanned: true, undo };
-  }
-
-  private kill(role: 'entry' | 'agent', fault: Fault): Effect | undefined {
-    const [daemon, index] = this.pickDaemon(role, fault) ?? [];
-    if (!daemon || index === undefined) return undefined;
-    this.ended.add(daemon);
-    daemon.process.kill('SIGKILL');
-    return { place: daemon.name, undo: () => this.restart(role, index) };
-  }
-
-  private freeze(role: 'entry' | 'agent', fault: Fault): Effect | undefined {
-    const [daemon] = this.pickDaemon(role, fault) ?? [];
-    if (!daemon) return undefined;
-    daemon.process.kill('SIGSTOP');
-    return { place: daemon.name, undo: () => daemon.process.kill('SIGCONT') };
-  }
-
-  private hangUp({ pick }: Fault): Effect | undefined {
-    const daemons = [...this.system.entries, ...this.system.agents];
-    const daemon = daemons[Math.floor(pick * daemons.length)];
-    if (!daemon || this.ended.has(daemon)) return undefined;
-    daemon.process.kill('SIGHUP');
-    return { place: daemon.name, isPlanned: true };
-  }
-
-  /** The name of a link is made of who uses it and what it leads to. */
-  private pickLink({ pick }: Fault): { proxy: LoopbackProxy; place: string } | undefined {
-    const links = [...this.proxies];
-    const [name, proxy] = links[Math.floor(pick * links.length)] ?? [];
-    if (!name || !proxy) return undefined;
-    const [from = '', to = ''] = name.split('>');
-    return { proxy, place: from === 'others' ? to.replace('-rpc', '') : from };
-  }
-
-  private bend(mood: ProxyMood, fault: Fault): Effect | undefined {
-    const { proxy, place } = this.pickLink(fault) ?? {};
-    if (!proxy || !place) return undefined;
-    proxy.mood = mood;
-    const undo = () => {
-      proxy.mood = 'well';
-    };
-    return { place, undo };
-  }
-
-  private breakLink(act: (proxy: LoopbackProxy) => void, fault: Fault): Effect | undefined {
-    const { proxy, place } = this.pickLink(fault) ?? {};
-    if (!proxy || !place) return undefined;
-    act(proxy);
-    return { place };
-  }
-
-  private upset(mood: StoreMood): Effect {
-    const { store } = this.system;
-    store.mood = mood;
-    const undo = () => {
-      store.mood = 'well';
-    };
-    return { place: 'store', undo };
-  }
-
-  private forget(): Effect {
-    this.system.store.compact();
-    return { place: 'store' };
-  }
-
-  private annoy(mood: WorkerMood, { pick }: Fault): Effect | undefined {
-    const index = Math.floor(pick * this.plan.workers);
-    const worker = this.system.workers[index];
-    if (!worker) return undefined;
-    worker.mood = mood;
-    const undo = () => {
-      worker.mood = 'well';
-    };
-    return { place: `agent-${index}`, undo };
-  }
-
-  private rebear({ pick }: Fault): Effect {
-    const index = Math.floor(pick * this.plan.workers);
-    this.system.workers[index]?.beginLife();
-    return { place: `agent-${index}` };
-  }
-
-  /** The worker says that it leaves, and comes back as a new life when the fault ends. */
-  private leave({ pick }: Fault): Effect | undefined {
-    const index = Math.floor(pick * this.plan.workers);
-    const worker = this.system.workers[index];
-    if (!worker || worker.state === 'draining') return undefined;
-    worker.state = 'draining';
-    const since = performance.now() + BOUNDS.leaveMs;
-    const open = this.checker.close('leaving worker', (id) => id === `i-${index}`, since);
-    const undo = async () => {
-      await sleep(BOUNDS.leaveMs);
-      open();
-      worker.beginLife();
-    };
-    return { place: '', isPlanned: true, undo };
-  }
-
-  private evacuate({ pick, forMs }: Fault): Effect | undefined {
-    const zone = pick < 0.5 ? 'north' : 'east';
-    const isThere = (worker: string) =>
-      this.system.dataCenterOf(Number(worker.split('-')[1])) === zone;
-    if (this.outZones.has(zone)) return undefined;
-    this.outZones.add(zone);
-    const key = `op/evacuate/${zone}`;
-    this.system.store.put(key, '{}');
-    const since = performance.now() + BOUNDS.evacuateMs;
-    const open = this.checker.close('evacuated data centre', isThere, since);
-    const undo = async () => {
-      await sleep(BOUNDS.evacuateMs + forMs);
-      open();
-      this.outZones.delete(zone);
-      this.system.store.put(key, undefined);
-    };
-    return { place: '', isPlanned: true, undo };
-  }
-
-  private configure(): Effect {
-    this.version += 1;
-    this.system.configure(this.version);
-    return { place: '', isPlanned: true };
-  }
-
   /** All processes are killed at once; service must be back in time. */
-  private async losePower({ forMs }: Fault, clients: SoakClients): Promise<void> {
+  private async losePower(
+    { forMs }: Fault,
+    { deployment, effects, clients }: Scene,
+  ): Promise<void> {
     await Promise.all(this.pending);
     const span = { place: 'store', from: performance.now(), to: Infinity, isPlanned: false };
     this.checker.disturb(span);
-    const { entries, agents } = this.system;
-    const daemons = [...entries, ...agents];
-    daemons.forEach((daemon) => {
-      this.ended.add(daemon);
-      daemon.process.kill('SIGKILL');
-    });
+    const { entries, agents } = deployment;
+    const daemons = daemonsOf(deployment);
+    effects.noteEnds(daemons);
+    daemons.forEach((daemon) => daemon.process.kill('SIGKILL'));
     this.log.info({ forMs: Math.round(forMs) }, 'power_lost');
     await sleep(forMs);
     await Promise.all([
-      ...entries.map((_, index) => this.system.startEntry(index)),
-      ...agents.map((_, index) => this.system.startAgent(index)),
+      ...entries.map((_, index) => deployment.startEntry(index)),
+      ...agents.map((_, index) => deployment.startAgent(index)),
     ]);
     const back = performance.now();
     let isServed = false;
-    while (!isServed && performance.now() < back + BOUNDS.recoveryMs) {
+    while (!isServed && performance.now() < back + RECOVERY_MS) {
       isServed = await clients.probe();
     }
     const ms = Math.round(performance.now() - back);
@@ -418,13 +218,13 @@
   }
 
   /** After the last fault everything is served, and nothing runs that nobody wants. */
-  private async checkRest(clients: SoakClients): Promise<void> {
+  private async checkRest({ deployment, clients }: Scene): Promise<void> {
     await sleep(SETTLE_MS);
     const probes = await Promise.all(Array.from({ length: PROBES }, () => clients.probe()));
     const failed = probes.filter((isServed) => !isServed).length;
     if (failed > 0) this.checker.report(`rest: ${failed} of ${PROBES} jobs were not served`);
     await sleep(SETTLE_MS / 2);
-    this.system.workers.forEach(({ running }, index) => {
+    deployment.workers.forEach(({ running }, index) => {
       if (running > 0) this.checker.report(`rest: ${running} runs are left at worker ${index}`);
     });
   }
