--- a/packages/dispatch/tests/placeTasks.test.ts
+++ b/packages/dispatch/tests/placeTasks.test.ts
@@ -52,6 +52,54 @@
     );
   });
 
+  // Naive: one task after the other, each to the best agent that still has room.
+  it('places each task where the naive placement does', () => {
+    const equalTo = (agent: Candidate, best: number) => agent.slowness <= best * 1.35;
+    const isBetter = (a: Candidate, b: Candidate, best: number): boolean => {
+      const tiers = [a, b].map((agent) => (equalTo(agent, best) ? 0 : agent.slowness));
+      const [tierA = 0, tierB = 0] = tiers;
+      if (tierA !== tierB) return tierA < tierB;
+      if (a.isNear !== b.isNear) return a.isNear;
+      if (a.isLocal !== b.isLocal) return a.isLocal;
+      return a.fitting > b.fitting;
+    };
+    const naive = (agents: readonly Candidate[], aim: typeof goal): Map<string, number> => {
+      const placed = new Map<string, number>();
+      for (let left = aim.count; left > 0; left -= 1) {
+        const open = agents.filter((agent) => {
+          const isInTime = aim.estimateMs * agent.slowness <= aim.slackMs;
+          const isLost = aim.estimateMs * aim.bestSlowness > aim.slackMs;
+          const isUsable =
+            equalTo(agent, aim.bestSlowness) ||
+            isInTime ||
+            (isLost && agent.slowness < aim.bestSlowness * 3);
+          return isUsable && (placed.get(agent.agent) ?? 0) < agent.fitting;
+        });
+        const [first, ...others] = open;
+        if (!first) break;
+        const chosen = others.reduce(
+          (best, agent) => (isBetter(agent, best, aim.bestSlowness) ? agent : best),
+          first,
+        );
+        placed.set(chosen.agent, (placed.get(chosen.agent) ?? 0) + 1);
+      }
+      return placed;
+    };
+    const aims = fc.record({
+      count: fc.nat({ max: 40 }),
+      estimateMs: fc.integer({ min: 1, max: 2_000 }),
+      slackMs: fc.integer({ min: -500, max: 4_000 }),
+      bestSlowness: fc.double({ min: 0.5, max: 3, noNaN: true }),
+    });
+    fc.assert(
+      fc.property(fc.array(candidate, { maxLength: 20 }), aims, (agents, aim) => {
+        const placed = placeTasks(agents, aim).map(({ agent, count }) => [agent, count] as const);
+        expect(new Map(placed)).toEqual(naive(agents, aim));
+      }),
+      { seed: 74, numRuns: 500 },
+    );
+  });
+
   it('prefers fast workers, then near data, then the own data centre, then room', () => {
     const order = placeTasks(
       [
