--- a/packages/proofs/tests/checkDispatch.test.ts
+++ b/packages/proofs/tests/checkDispatch.test.ts
@@ -11,6 +11,7 @@
   from,
   to,
   how,
+  isForbidden: false,
 });
 
 const answer = (outcome: SeenAnswer['outcome'], at: number): SeenAnswer => ({
@@ -47,6 +48,16 @@
     expect(rulesOf([], [answer(refused, 20)])).toEqual([]);
   });
 
+  it('finds a failure after too few failed runs, and passes one after enough', () => {
+    const failed = answer({ type: 'failed', reason: '' }, 30);
+    expect(rulesOf([run(0, 10, 'failed')], [failed])).toEqual(['falseFailure']);
+    expect(rulesOf([run(0, 10, 'failed'), run(10, 20, 'failed')], [failed])).toEqual([]);
+  });
+
+  it('finds a start on a worker that leaves', () => {
+    expect(rulesOf([{ ...run(0, 10, 'done'), isForbidden: true }], [])).toEqual(['leaving']);
+  });
+
   it('finds a worker with more at work than fits', () => {
     expect(rulesOf([], [], ['w1: 5000 of 4000'])).toEqual(['room']);
   });
--- a/packages/proofs/tests/dispatch.test.ts
+++ b/packages/proofs/tests/dispatch.test.ts
@@ -54,6 +54,7 @@
     ['late', 1_500],
     ['delayed', 1_500],
     ['reborn', 10],
+    ['leaves', 3_500],
     ['takeOut', 1_500],
   ] as const)('keeps its promises under %s', async (type, forMs) => {
     const faults = [at(type, 500, forMs), at(type, 2_600, forMs, 1, 1)];
--- a/packages/proofs/tests/support/DispatchWorld.ts
+++ b/packages/proofs/tests/support/DispatchWorld.ts
@@ -28,6 +28,9 @@
 
 type Node<T> = { name: string; node: T; isAlive: boolean };
 
+/** Failed runs of a task after which its job has failed. */
+const ATTEMPTS = 2;
+
 /** Entries, agents and workers in one process under paused time. */
 export class DispatchWorld {
   readonly runs: SeenRun[] = [];
@@ -62,7 +65,7 @@
         targetLatencyMs: 60,
         stretch: 1.6,
         priority: 0,
-        attempts: 2,
+        attempts: ATTEMPTS,
         needsAdvice: false,
       },
     ],
@@ -321,6 +324,17 @@
       ? [{ rule: 'falseRefusal', detail: job.id }]
       : [];
   });
+  const falseFailures = answers.flatMap(({ job, outcome }) => {
+    const failures = Array.from({ length: job.tasks }, (_, index) =>
+      byTask.get(`${job.id}.0.0.${index}`)?.filter(({ how }) => how === 'failed'),
+    ).map((failed) => failed?.length ?? 0);
+    return outcome.type === 'failed' && Math.max(...failures) < ATTEMPTS
+      ? [{ rule: 'falseFailure', detail: job.id }]
+      : [];
+  });
+  const leaving = runs
+    .filter(({ isForbidden }) => isForbidden)
+    .map(({ task, worker }) => ({ rule: 'leaving', detail: `${task} on ${worker}` }));
   const room = overloads.map((detail) => ({ rule: 'room', detail }));
-  return [...twice, ...untrue, ...room];
+  return [...twice, ...untrue, ...falseFailures, ...leaving, ...room];
 };
--- a/packages/proofs/tests/support/MemoryWorker.ts
+++ b/packages/proofs/tests/support/MemoryWorker.ts
@@ -16,6 +16,8 @@
   from: number;
   to: number;
   how: string;
+  /** Started although the worker had said long before that it leaves. */
+  isForbidden: boolean;
 };
 
 type Active = SeenRun & { name: TaskName; runMs: number; cpu: number; timer: NodeJS.Timeout };
@@ -28,6 +30,9 @@
 
 const MAX_LEASE_MS = 1_000;
 
+/** Time after the report of a leaving worker from which nothing new may start, in milliseconds. */
+const LEAVE_MS = 2_000;
+
 const STOP_MS = 20;
 
 const LATE_MS = 2_500;
@@ -47,6 +52,12 @@
   /** Its clock's rate; 0.98 is as slow as is allowed. */
   rate = 1;
 
+  /** It says that it leaves. */
+  isLeaving = false;
+
+  /** Monotonic time at which an agent has first heard that. */
+  private leaveHeardAt = Infinity;
+
   private born = Date.now();
 
   private startedAt = performance.now();
@@ -97,6 +108,7 @@
   /** Its next report. */
   report(): WorkerReport {
     this.sequence += 1;
+    if (this.isLeaving) this.leaveHeardAt = Math.min(this.leaveHeardAt, performance.now());
     return {
       id: this.id,
       born: this.born,
@@ -104,7 +116,7 @@
       dataCenter: this.dataCenter,
       capacity: this.capacity,
       labels: [],
-      isLeaving: false,
+      isLeaving: this.isLeaving,
       clock: this.clock(),
       sequence: this.sequence,
     };
@@ -120,6 +132,8 @@
     this.leaseUntil = 0;
     this.highest.clear();
     this.sequence = 0;
+    this.isLeaving = false;
+    this.leaveHeardAt = Infinity;
     this.born += Math.max(1, Date.now() - this.born);
     this.startedAt = performance.now();
   }
@@ -211,6 +225,7 @@
       from: performance.now(),
       to: Infinity,
       how: 'running',
+      isForbidden: performance.now() > this.leaveHeardAt + LEAVE_MS,
       timer: setTimeout(() => this.end(active, fails ? 'failed' : 'done'), runMs),
     };
     this.active.set(task, active);
--- a/packages/proofs/tests/support/dispatchSchedule.ts
+++ b/packages/proofs/tests/support/dispatchSchedule.ts
@@ -15,6 +15,7 @@
     | 'late'
     | 'delayed'
     | 'reborn'
+    | 'leaves'
     | 'takeOut';
   atMs: number;
   forMs: number;
@@ -62,6 +63,7 @@
     'late',
     'delayed',
     'reborn',
+    'leaves',
     'takeOut',
   ),
   atMs: fc.integer({ min: 0, max: LENGTH_MS }),
@@ -118,6 +120,10 @@
     reborn: () => {
       if (isOn) worker?.reborn();
     },
+    leaves: () => {
+      if (worker && isOn) worker.isLeaving = true;
+      else worker?.reborn();
+    },
     takeOut: () => world.takeOut(isOn ? [center] : []),
   };
   actions[type]();
