Keep views that cross an attach, and tokens above those of any earlier life

The agent's next view came in one piece with its answer to attach, and was dropped since the link was not the connection's yet. AgentConnection keeps it. 2. Found while tracing 1: the agent compared a view with the last one sent to anybody; an entry that attached between two sendings of the same view was told nothing. The agent now keeps for each entry what it was told, and forgets that when an answer or an end has told another amount of room. 3. Ruled out for 1: a lost message (agent-3 was attached, its state there 'runs unknown', no later change). Also: a local deployment that fails to start ends its processes. Before: AgentConnection, GateAgent, WorkerLife tests fail (4). After: all pass, schedules and process tests pass.

--- a/marjorammast-app/src/local/DispatchDeployment.ts
+++ b/marjorammast-app/src/local/DispatchDeployment.ts
@@ -102,8 +102,13 @@
     detour: Detour = direct,
   ): Promise<DispatchDeployment> {
     const deployment = new DispatchDeployment(entryCount, workerCount, detour);
-    await deployment.start();
-    return deployment;
+    try {
+      await deployment.start();
+      return deployment;
+    } catch (error) {
+      await deployment.stop();
+      throw error;
+    }
   }
 
   /** Folder with the logs of all daemons. */
--- a/packages/dispatch/src/AgentConnection.ts
+++ b/packages/dispatch/src/AgentConnection.ts
@@ -42,6 +42,12 @@
 export class AgentConnection {
   private link: Link | undefined;
 
+  /** Link on which the agent has not answered `attach` yet. */
+  private attaching: Link | undefined;
+
+  /** View that the agent has sent before its answer to `attach` was read. */
+  private earlyView: WorkerView | undefined;
+
   private workerView: WorkerView | undefined;
 
   /** Room of assignments that the agent has not answered. */
@@ -101,7 +107,7 @@
    * @param link - the link
    */
   owns(link: Link): boolean {
-    return this.link === link;
+    return this.link === link || this.attaching === link;
   }
 
   /**
@@ -110,6 +116,10 @@
    * @param view - the agent's view
    */
   takeView(view: WorkerView): void {
+    if (this.attaching) {
+      this.earlyView = view;
+      return;
+    }
     if (view.state !== this.workerView?.state) {
       const { state, reason } = view;
       this.host.log.info({ agent: this.name, state, reason }, 'agent_state');
@@ -221,9 +231,12 @@
   }
 
   private async attach(link: Link): Promise<void> {
+    this.attaching = link;
+    this.earlyView = undefined;
     try {
       const params = { entry: this.host.entry, rules: this.host.rules() };
       const answer = await link.call('attach', params, ATTACH_TIMEOUT_MS);
+      this.attaching = undefined;
       if (this.isClosed) {
         link.close();
         return;
@@ -234,8 +247,9 @@
       link.onClose(() => this.lose(link));
       this.host.log.info({ agent: this.name }, 'agent_attached');
       this.host.newerRules(answer.rules);
-      this.takeView(answer.view);
+      this.takeView(this.earlyView ?? answer.view);
     } catch (error) {
+      this.attaching = undefined;
       link.close();
       throw error;
     }
--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -45,6 +45,8 @@
   ends: Params<'ended'>['runs'];
   /** Was declined for want of room and is told of room at once. */
   isShort: boolean;
+  /** View that it was told last, as text; empty when it knows another room by now. */
+  toldView: string;
 };
 
 type Assignment = Params<'assign'>;
@@ -71,8 +73,6 @@
 
   private isStopping = false;
 
-  private sentView = '';
-
   private viewTimer: NodeJS.Timeout | undefined;
 
   private readonly watchdog: NodeJS.Timeout;
@@ -225,6 +225,7 @@
   private attach(entry: string, rules: GateRules, link: Link): Result<'attach'> {
     this.ownerCount += 1;
     const id = `${entry}#${this.ownerCount}`;
+    const { view } = this;
     this.owners.set(link, {
       id,
       link,
@@ -232,12 +233,13 @@
       heardAt: performance.now(),
       ends: [],
       isShort: false,
+      toldView: JSON.stringify(view),
     });
     link.onClose(() => this.detach(link));
     this.takeRules(rules);
     this.parts.log.info({ entry, revision: rules.revision }, 'entry_attached');
     const { name, dataCenter, clock } = this.parts;
-    return { agent: name, dataCenter, rules: this.rules, view: this.view, clock: clock() };
+    return { agent: name, dataCenter, rules: this.rules, view, clock: clock() };
   }
 
   private detach(link: Link): void {
@@ -268,7 +270,8 @@
     rows.forEach(([index, run]) => this.take(assignment, index, run, link));
     const declined = assignment.runs.length - rows.length;
     const owner = this.owners.get(link);
-    if (owner) owner.isShort = declined > 0;
+    // The answer tells of room beside the view.
+    if (owner) Object.assign(owner, { isShort: declined > 0, toldView: '' });
     this.parts.meter.assigned(rows.length, declined, reason ?? '');
     this.parts.log.info(
       { job: assignment.job, taken: rows.length, declined, reason, entry: this.nameOf(link) },
@@ -377,11 +380,8 @@
   private tellShort(): void {
     const short = [...this.owners.values()].filter(({ isShort }) => isShort);
     if (short.length === 0) return;
-    const { view } = this;
-    short.forEach((owner) => {
-      owner.isShort = false;
-      owner.link.notify('view', view);
-    });
+    short.forEach((owner) => Object.assign(owner, { isShort: false }));
+    this.tellView(short);
   }
 
   private queueEnd(owner: Owner, run: Run, how: RunEnd, ms: number): void {
@@ -391,7 +391,7 @@
 
   private sendEnds(owner: Owner): void {
     const runs = owner.ends;
-    owner.ends = [];
+    Object.assign(owner, { ends: [], toldView: '' });
     owner.link.notify('ended', { runs, free: this.view.free });
   }
 
@@ -402,11 +402,19 @@
   private sendView(): void {
     clearTimeout(this.viewTimer);
     this.viewTimer = undefined;
+    this.tellView([...this.owners.values()]);
+  }
+
+  /** Tells entries the view, unless it is what they know. */
+  private tellView(owners: readonly Owner[]): void {
     const { view } = this;
     const text = JSON.stringify(view);
-    if (text === this.sentView) return;
-    this.sentView = text;
-    this.owners.forEach(({ link }) => link.notify('view', view));
+    owners
+      .filter(({ toldView }) => toldView !== text)
+      .forEach((owner) => {
+        Object.assign(owner, { toldView: text });
+        owner.link.notify('view', view);
+      });
   }
 
   private watchOwners(): void {
--- a/packages/gate/src/WorkerLife.ts
+++ b/packages/gate/src/WorkerLife.ts
@@ -76,7 +76,10 @@
 export class WorkerLife {
   readonly identity: WorkerIdentity;
 
-  /** Grows with each life of the agent, since the worker's clock does. */
+  /**
+   * Grows with each life of the agent, since the worker's clock does, and with each life of the
+   * worker, which is born later.
+   */
   private readonly token: number;
 
   private readonly runs = new Map<string, Run>();
@@ -107,7 +110,7 @@
     legacy: LifeLegacy,
   ) {
     this.identity = { id: report.id, born: report.born };
-    this.token = Math.max(1, Math.floor(report.clock), legacy.token + 1);
+    this.token = Math.max(Math.floor(report.born + report.clock), legacy.token + 1);
     this.workerClock = report.clock;
   }
 
