--- a/marjorammast-app/src/soak/FaultEffects.ts
+++ b/marjorammast-app/src/soak/FaultEffects.ts
@@ -70,22 +70,22 @@
       freezeEntry: () => this.freeze('entry', fault),
       freezeAgent: () => this.freeze('agent', fault),
       hangUp: () => this.hangUp(fault),
-      slowLink: () => this.bend('slow', fault),
-      silentLink: () => this.bend('silent', fault),
-      muteLink: () => this.bend('mute', fault),
+      slowLink: () => this.disturbLink('slow', fault),
+      silentLink: () => this.disturbLink('silent', fault),
+      muteLink: () => this.disturbLink('mute', fault),
       stuckLink: () => this.breakLink((proxy) => proxy.stick(), fault),
       resetLink: () => this.breakLink((proxy) => proxy.reset(), fault),
-      storeRefuses: () => this.upset('refuse'),
-      storeSilent: () => this.upset('silent'),
-      storeSlow: () => this.upset('slow'),
-      storeAnswerLost: () => this.upset('answerLost'),
-      storeForgets: () => this.forget(),
-      workerSilent: () => this.annoy('silent', fault),
-      workerAnswerLost: () => this.annoy('answerLost', fault),
-      workerLate: () => this.annoy('late', fault),
-      workerStuck: () => this.annoy('stuck', fault),
-      workerReborn: () => this.rebear(fault),
-      workerLeaves: () => this.leave(fault),
+      storeRefuses: () => this.upsetStore('refuse'),
+      storeSilent: () => this.upsetStore('silent'),
+      storeSlow: () => this.upsetStore('slow'),
+      storeAnswerLost: () => this.upsetStore('answerLost'),
+      storeForgets: () => this.compactStore(),
+      workerSilent: () => this.upsetWorker('silent', fault),
+      workerAnswerLost: () => this.upsetWorker('answerLost', fault),
+      workerLate: () => this.upsetWorker('late', fault),
+      workerStuck: () => this.upsetWorker('stuck', fault),
+      workerReborn: () => this.restartWorker(fault),
+      workerLeaves: () => this.retireWorker(fault),
       evacuate: () => this.evacuate(fault),
       configure: () => this.configure(),
       powerLoss: () => undefined,
@@ -144,7 +144,7 @@
     return { place: daemon.name, isPlanned: true };
   }
 
-  private bend(mood: ProxyMood, fault: Fault): Effect | undefined {
+  private disturbLink(mood: ProxyMood, fault: Fault): Effect | undefined {
     const { proxy, place } = this.parts.links.pick(fault.pick) ?? {};
     if (!proxy || !place) return undefined;
     proxy.mood = mood;
@@ -161,7 +161,7 @@
     return { place };
   }
 
-  private upset(mood: StoreMood): Effect {
+  private upsetStore(mood: StoreMood): Effect {
     const { store } = this.parts.deployment;
     store.mood = mood;
     const undo = () => {
@@ -170,12 +170,12 @@
     return { place: 'store', undo };
   }
 
-  private forget(): Effect {
+  private compactStore(): Effect {
     this.parts.deployment.store.compact();
     return { place: 'store' };
   }
 
-  private annoy(mood: WorkerMood, { pick }: Fault): Effect | undefined {
+  private upsetWorker(mood: WorkerMood, { pick }: Fault): Effect | undefined {
     const index = Math.floor(pick * this.parts.deployment.workers.length);
     const worker = this.parts.deployment.workers[index];
     if (!worker) return undefined;
@@ -186,14 +186,14 @@
     return { place: `agent-${index}`, undo };
   }
 
-  private rebear({ pick }: Fault): Effect {
+  private restartWorker({ pick }: Fault): Effect {
     const index = Math.floor(pick * this.parts.deployment.workers.length);
     this.parts.deployment.workers[index]?.beginLife();
     return { place: `agent-${index}` };
   }
 
   /** The worker says that it leaves, and comes back as a new life when the fault ends. */
-  private leave({ pick }: Fault): Effect | undefined {
+  private retireWorker({ pick }: Fault): Effect | undefined {
     const index = Math.floor(pick * this.parts.deployment.workers.length);
     const worker = this.parts.deployment.workers[index];
     if (!worker || worker.state === 'draining') return undefined;
