Leave no lower token to a worker's next life than the one it was shown

Found on reading: the next life is shown birth plus clock of its list as soon as that answers, but its first report may be older than that list. Its token was then lower, and it would have refused every order of its agent from then on. Ruled out: raising the token of the old life itself, whose calls on their way would pass the new one. Before: the new test of WorkerLife fails (61040 against 61050). After: passes.

--- a/packages/gate/src/WorkerLife.ts
+++ b/packages/gate/src/WorkerLife.ts
@@ -51,7 +51,7 @@
 
 /** What a life of a worker takes over from the one before. */
 export type LifeLegacy = {
-  /** Highest token that the agent has used: an order of then may have reached this life. */
+  /** Highest token that the worker may have seen. */
   token: number;
   /** Runs whose start may have been carried out by either life. */
   doubtful: readonly Run[];
@@ -81,6 +81,9 @@
 
   private readonly token: number;
 
+  /** Highest token that the worker may have seen, also in its next life. */
+  private shownToken: number;
+
   private readonly runs = new Map<string, Run>();
 
   private readonly recentEnds = new Map<string, { run: number; at: number }>();
@@ -110,6 +113,7 @@
   ) {
     this.identity = { id: report.id, born: report.born };
     this.token = Math.max(tokenAt(report.born, report.clock), legacy.token + 1);
+    this.shownToken = this.token;
     this.workerClock = report.clock;
   }
 
@@ -222,7 +226,7 @@
     const doubtful = this.select(({ isListed }) => !isListed);
     this.select(({ isListed }) => isListed).forEach((run) => this.finish(run, 'lapsed'));
     this.host.changed();
-    return { token: this.token, doubtful };
+    return { token: this.shownToken, doubtful };
   }
 
   private inherit(run: Run): void {
@@ -369,7 +373,8 @@
   /** Shows the next life a higher token before late orders to this one can reach it. */
   private fenceOff({ born, clock }: RunList): void {
     const worker = { ...this.identity, born };
-    const order = { worker, token: tokenAt(born, clock), lastEnd: 0, waitMs: 0 };
+    this.shownToken = Math.max(this.shownToken, tokenAt(born, clock));
+    const order = { worker, token: this.shownToken, lastEnd: 0, waitMs: 0 };
     void this.host.port.hold(order).then((answer) => {
       this.host.log.info({ born, answer: answer.type }, 'next_life_fenced');
     });
--- a/packages/gate/tests/WorkerLife.test.ts
+++ b/packages/gate/tests/WorkerLife.test.ts
@@ -192,6 +192,18 @@
     scene.life.end();
   });
 
+  // The next life refuses a lower token: its first report may be older than the list that it gave.
+  it('leaves no lower token to a next life than the one that it has shown it', async () => {
+    const scene = createScene();
+    await pass(20);
+    scene.born = BORN + 60_000;
+    await pass(20);
+    const left = scene.life.end();
+    const older = { ...report, born: scene.born, clock: CLOCK - 10 };
+    const next = WorkerLife.create(older, scene.host, left);
+    expect(next.end().token).toBeGreaterThan(scene.born + CLOCK);
+  });
+
   it('bars in the next life what the one before may have left, with a higher token', async () => {
     const scene = createScene({ token: 9_000, doubtful: [createRun(1)] });
     expect(scene.life.free.cpu).toBe(3_000);
