Read as a newcomer: split a worker's life, one fixture for jobs, no error without a trace

- WorkerLife: the lease with the worker's clock (WorkerLease) and the memory of ended runs (EndedRuns) are parts of their own; what a life leaves to the next is an Inheritance.
A halted agent gives up nothing later.
- AgentConnection: one field for a connection that is being attached, instead of two.
- Soak: a loss of power is no fault at one place, and has its own type; the draws stay the same.
- Errors that were dropped get a log line: audits and confirmations of the first design, announcements of the target stand-in; the state of entries tells why one is unreachable; a wait of the local deployment tells the last error, and its reports drop only those of a connection.
- Tests of dispatch share one queue and one job.

--- a/marjorammast-app/src/local/DispatchDeployment.ts
+++ b/marjorammast-app/src/local/DispatchDeployment.ts
@@ -59,6 +59,11 @@
 
 const readSpec = (spec: string): TaskSpec => JSON.parse(spec) as TaskSpec;
 
+const isUnreachable = (error: unknown): boolean =>
+  error instanceof Error &&
+  'code' in error &&
+  ['ECONNREFUSED', 'ECONNRESET', 'EPIPE'].includes(String(error.code));
+
 /** Gives the address under which a process reaches a place, such as that of a proxy between. */
 export type Detour = (from: string, place: string, address: string) => Promise<string>;
 
@@ -213,11 +218,17 @@
   /** Waits until a condition holds. */
   async until(what: string, condition: () => Promise<boolean>): Promise<void> {
     const end = performance.now() + READY_TIMEOUT_MS;
+    let last = 'condition not met';
     while (performance.now() < end) {
-      if (await condition().catch(() => false)) return;
+      try {
+        if (await condition()) return;
+      } catch (error) {
+        last = String(error);
+      }
       await sleep(POLL_MS);
     }
-    throw new Error(`${what}: not within ${READY_TIMEOUT_MS} ms; logs are in ${this.folder}`);
+    const seen = `not within ${READY_TIMEOUT_MS} ms, last: ${last}`;
+    throw new Error(`${what}: ${seen}; logs are in ${this.folder}`);
   }
 
   /** Waits until a daemon has ended. */
@@ -291,8 +302,12 @@
     await Promise.all(
       this.workers.map(async (worker, index) => {
         const { path, body } = worker.report();
-        // An agent that is down takes no report.
-        await this.call(`agent-${index}-reports`, 'POST', path, body).catch(() => undefined);
+        try {
+          await this.call(`agent-${index}-reports`, 'POST', path, body);
+        } catch (error) {
+          // An agent that is down takes no report; the next one tells the same.
+          if (!isUnreachable(error)) throw error;
+        }
       }),
     );
   }
--- a/marjorammast-app/src/soak/FaultEffects.ts
+++ b/marjorammast-app/src/soak/FaultEffects.ts
@@ -88,7 +88,6 @@
       workerLeaves: () => this.retireWorker(fault),
       evacuate: () => this.evacuate(fault),
       configure: () => this.configure(),
-      powerLoss: () => undefined,
     };
     return effects[fault.kind]();
   }
--- a/marjorammast-app/src/soak/Soak.ts
+++ b/marjorammast-app/src/soak/Soak.ts
@@ -4,7 +4,7 @@
 import { DispatchDeployment } from '../local/DispatchDeployment';
 import type { Daemon } from '../local/DispatchDeployment';
 import { drawFault } from './faults';
-import type { Fault } from './faults';
+import type { Fault, PowerLoss } from './faults';
 import { FaultEffects } from './FaultEffects';
 import { LinkProxies } from './LinkProxies';
 import { SoakChecker } from './SoakChecker';
@@ -50,9 +50,6 @@
 
 const daemonsOf = ({ entries, agents }: DispatchDeployment): Daemon[] => [...entries, ...agents];
 
-const names = (kind: string, count: number): string[] =>
-  Array.from({ length: count }, (_, index) => `${kind}-${index}`);
-
 /** Real programs under faults from outside, with clients and a checker. */
 export class Soak {
   private readonly links = LinkProxies.create();
@@ -73,7 +70,7 @@
   ) {
     this.random = createRandom(plan.seed);
     this.checker = SoakChecker.create({
-      entries: names('entry', plan.entries),
+      entries: Array.from({ length: plan.entries }, (_, index) => `entry-${index}`),
       agentOf: (worker) => worker.replace('i-', 'agent-'),
       attempts: FAILED_ATTEMPTS,
     });
@@ -190,7 +187,7 @@
 
   /** All processes are killed at once; service must be back in time. */
   private async losePower(
-    { forMs }: Fault,
+    { forMs }: PowerLoss,
     { deployment, effects, clients }: Scene,
   ): Promise<void> {
     await Promise.all(this.pending);
--- a/marjorammast-app/src/soak/faults.ts
+++ b/marjorammast-app/src/soak/faults.ts
@@ -1,4 +1,4 @@
-/** Kinds of trouble that the soak makes. */
+/** Kinds of trouble at one place. */
 export const FAULT_KINDS = [
   'stopEntry',
   'stopAgent',
@@ -25,30 +25,35 @@
   'workerLeaves',
   'evacuate',
   'configure',
-  'powerLoss',
 ] as const;
 
 /** Inferred from {@link FAULT_KINDS}. */
 export type FaultKind = (typeof FAULT_KINDS)[number];
 
-/** One disruption of a soak. */
-export type Fault = {
-  kind: FaultKind;
+type Span = {
   /** Pause since the one before, in milliseconds. */
   pauseMs: number;
   /** How long it lasts, in milliseconds. */
   forMs: number;
+};
+
+/** One disruption at one place. */
+export type Fault = Span & {
+  kind: FaultKind;
   /** Chooses the process, link or worker, below 1. */
   pick: number;
 };
 
+/** All processes are killed at once. */
+export type PowerLoss = Span & { kind: 'powerLoss' };
+
 const SHORTEST_MS = 150;
 
 const LONGEST_MS = 3_000;
 
 const MEAN_PAUSE_MS = 900;
 
-/** Weight of `powerLoss` against the others. */
+/** Share of losses of power among all disruptions. */
 const POWER_LOSS_SHARE = 0.02;
 
 /**
@@ -56,13 +61,11 @@
  *
  * @param random - uniform random numbers below 1
  */
-export const drawFault = (random: () => number): Fault => {
-  const others = FAULT_KINDS.filter((kind) => kind !== 'powerLoss');
-  const kind = others[Math.floor(random() * others.length)] ?? 'hangUp';
-  return {
-    kind: random() < POWER_LOSS_SHARE ? 'powerLoss' : kind,
-    pauseMs: 2 * MEAN_PAUSE_MS * random(),
-    forMs: SHORTEST_MS + (LONGEST_MS - SHORTEST_MS) * random(),
-    pick: random(),
-  };
+export const drawFault = (random: () => number): Fault | PowerLoss => {
+  const kind = FAULT_KINDS[Math.floor(random() * FAULT_KINDS.length)] ?? 'hangUp';
+  const isPowerLoss = random() < POWER_LOSS_SHARE;
+  const pauseMs = 2 * MEAN_PAUSE_MS * random();
+  const forMs = SHORTEST_MS + (LONGEST_MS - SHORTEST_MS) * random();
+  const pick = random();
+  return isPowerLoss ? { kind: 'powerLoss', pauseMs, forMs } : { kind, pauseMs, forMs, pick };
 };
--- a/marjorammast-app/src/targetStandIn.ts
+++ b/marjorammast-app/src/targetStandIn.ts
@@ -1,5 +1,6 @@
 import { appendFileSync } from 'node:fs';
 import { TargetStandIn, behaviorSchema, createTargetHttp } from '@marjorammast/standins';
+import { createLog } from '@marjorammast/telemetry';
 import { z } from 'zod';
 import { serveHttp } from './serveHttp';
 import { loadSettings } from './settings';
@@ -21,6 +22,7 @@
 const run = async (): Promise<void> => {
   const settings = loadSettings('targetStandIn', settingsSchema);
   const { name, http, agent, slots, connections, behavior, records } = settings;
+  const log = createLog(name, 'warn');
   const target = TargetStandIn.create(name, behavior, Math.random, (record) => {
     if (records) appendFileSync(records, `${JSON.stringify(record)}\n`);
   });
@@ -30,13 +32,13 @@
       method: 'PUT',
       headers: { 'content-type': 'application/json' },
       body: JSON.stringify({ address: http, slots, connections }),
-    }).catch(() => undefined);
+    }).catch((error: unknown) => log.warn({ agent, detail: String(error) }, 'announce_failed'));
   };
   setInterval(() => void announce(), ANNOUNCE_MS);
   await announce();
   process.on('SIGTERM', () => {
     void fetch(`http://${agent}/target`, { method: 'DELETE' })
-      .catch(() => undefined)
+      .catch((error: unknown) => log.warn({ agent, detail: String(error) }, 'sign_off_failed'))
       .then(() => {
         const finish = () => (target.running === 0 ? process.exit(0) : setTimeout(finish, 20));
         finish();
--- a/packages/agent/src/Agent.ts
+++ b/packages/agent/src/Agent.ts
@@ -413,7 +413,10 @@
         ?.call('audit', { credits })
         .then(({ held }) => this.slots.settleAudit(credits, held, performance.now()))
         .then(() => this.distribute())
-        .catch(() => undefined);
+        // The credits stay idle, and the next audit asks for them again.
+        .catch((error: unknown) => {
+          this.parts.log.warn({ entry, detail: String(error) }, 'audit_failed');
+        });
     });
   }
 }
--- a/packages/dispatch/src/AgentConnection.ts
+++ b/packages/dispatch/src/AgentConnection.ts
@@ -42,11 +42,8 @@
 export class AgentConnection {
   private link: Link | undefined;
 
-  /** Link on which the agent has not answered `attach` yet. */
-  private attaching: Link | undefined;
-
-  /** View that the agent has sent before its answer to `attach` was read. */
-  private earlyView: WorkerView | undefined;
+  /** Link whose `attach` has no answer yet, with the view that was read before it. */
+  private attaching: { link: Link; view?: WorkerView } | undefined;
 
   private workerView: WorkerView | undefined;
 
@@ -107,7 +104,7 @@
    * @param link - the link
    */
   owns(link: Link): boolean {
-    return this.link === link || this.attaching === link;
+    return this.link === link || this.attaching?.link === link;
   }
 
   /**
@@ -117,7 +114,7 @@
    */
   takeView(view: WorkerView): void {
     if (this.attaching) {
-      this.earlyView = view;
+      this.attaching.view = view;
       return;
     }
     if (view.state !== this.workerView?.state) {
@@ -231,8 +228,8 @@
   }
 
   private async attach(link: Link): Promise<void> {
-    this.attaching = link;
-    this.earlyView = undefined;
+    const attaching: { link: Link; view?: WorkerView } = { link };
+    this.attaching = attaching;
     try {
       const params = { entry: this.host.entry, rules: this.host.rules() };
       const answer = await link.call('attach', params, ATTACH_TIMEOUT_MS);
@@ -247,7 +244,7 @@
       link.onClose(() => this.lose(link));
       this.host.log.info({ agent: this.name }, 'agent_attached');
       this.host.newerRules(answer.rules);
-      this.takeView(this.earlyView ?? answer.view);
+      this.takeView(attaching.view ?? answer.view);
     } catch (error) {
       this.attaching = undefined;
       link.close();
--- a/packages/dispatch/tests/Dispatcher.test.ts
+++ b/packages/dispatch/tests/Dispatcher.test.ts
@@ -1,10 +1,8 @@
 import { createLog } from '@marjorammast/telemetry';
 import type { WorkerView } from '@marjorammast/protocol';
 import type { AgentConnection, Assignment } from '../src/AgentConnection';
-import { ActiveJob } from '../src/ActiveJob';
 import { Dispatcher } from '../src/Dispatcher';
-
-const NEEDS = { cpu: 1_000, memoryMb: 10, accelerators: 0 };
+import { createTestJob } from './support';
 
 const roomFor = (tasks: number) => ({ cpu: tasks * 1_000, memoryMb: 10_000, accelerators: 0 });
 
@@ -36,24 +34,6 @@
   return { connection: connection as unknown as AgentConnection, assigned };
 };
 
-const createJob = (estimateMs: number): ActiveJob => {
-  const step = { count: 1, needs: NEEDS, estimateMs, after: [], maxPerWorker: 0, traits: [] };
-  const route = {
-    name: 'claims',
-    host: 'h.example',
-    prefix: '/claims/',
-    service: 'desk',
-    timeoutMs: 9_000,
-    targetLatencyMs: 60,
-    stretch: 1.6,
-    priority: 0,
-    attempts: 2,
-    needsAdvice: false,
-  };
-  const request = { id: 'a', spec: '', steps: [step], isBestEffort: true, repeatCount: 0 };
-  return ActiveJob.create(request, route, step, 9_000);
-};
-
 const createDispatcher = (agents: readonly AgentConnection[]): Dispatcher =>
   Dispatcher.create({
     dataCenter: 'one',
@@ -77,7 +57,7 @@
     const fast = fakeAgent('fast', 0.6, 0);
     const slow = fakeAgent('slow', 1.3, 5);
     const dispatcher = createDispatcher([fast.connection, slow.connection]);
-    dispatcher.add(createJob(1_000));
+    dispatcher.add(createTestJob(1, 1_000));
     await jest.advanceTimersByTimeAsync(50);
     dispatcher.halt();
     expect(slow.assigned).toHaveLength(1);
--- a/packages/dispatch/tests/configure.test.ts
+++ b/packages/dispatch/tests/configure.test.ts
@@ -1,20 +1,8 @@
 import { createLog } from '@marjorammast/telemetry';
 import { DispatchEntry } from '../src/DispatchEntry';
+import { testRoute } from './support';
 
-const route = {
-  name: 'claims',
-  host: 'h.example',
-  prefix: '/claims/',
-  service: 'desk',
-  timeoutMs: 1_500,
-  targetLatencyMs: 60,
-  stretch: 1.6,
-  priority: 0,
-  attempts: 2,
-  needsAdvice: false,
-};
-
-const state = { revision: 12, version: 3, routes: [route], outDataCenters: [] as string[] };
+const state = { revision: 12, version: 3, routes: [testRoute], outDataCenters: [] as string[] };
 
 describe('configure', () => {
   const lines: string[] = [];
--- /dev/null
+++ b/packages/dispatch/tests/support.ts
@@ -0,0 +1,29 @@
+import type { Route } from '@marjorammast/protocol';
+import { ActiveJob } from '../src/ActiveJob';
+
+/** A queue of the tests. */
+export const testRoute: Route = {
+  name: 'claims',
+  host: 'h.example',
+  prefix: '/claims/',
+  service: 'desk',
+  timeoutMs: 9_000,
+  targetLatencyMs: 60,
+  stretch: 1.6,
+  priority: 0,
+  attempts: 2,
+  needsAdvice: false,
+};
+
+/**
+ * Creates a job of that queue.
+ *
+ * @param count - number of its tasks
+ * @param estimateMs - estimated run time of each, in milliseconds
+ */
+export const createTestJob = (count: number, estimateMs: number): ActiveJob => {
+  const needs = { cpu: 1_000, memoryMb: 10, accelerators: 0 };
+  const step = { count, needs, estimateMs, after: [], maxPerWorker: 0, traits: [] };
+  const request = { id: 'a', spec: '', steps: [step], isBestEffort: true, repeatCount: 0 };
+  return ActiveJob.create(request, testRoute, step, 9_000);
+};
--- a/packages/entry/src/EnvironmentController.ts
+++ b/packages/entry/src/EnvironmentController.ts
@@ -130,7 +130,10 @@
         pending.map(async ({ name }) => {
           const answer = await cluster
             .call(name, 'confirm', { version }, FRESHNESS_MS / 2)
-            .catch(() => undefined);
+            .catch((error: unknown) => {
+              this.host.log.warn({ entry: name, version, detail: String(error) }, 'confirm_failed');
+              return undefined;
+            });
           if (answer && answer.version >= version) confirmed.add(name);
         }),
       );
--- a/packages/entry/src/http/operatorRoutes.ts
+++ b/packages/entry/src/http/operatorRoutes.ts
@@ -75,8 +75,11 @@
 
 const statusOfEntries = async (entry: Entry): Promise<Record<string, unknown>[]> => {
   const others = entry.cluster.others().map(async ({ name }) => {
-    const answer = await entry.cluster.call(name, 'status', {}).catch(() => undefined);
-    return answer ?? { entry: name, unreachable: true };
+    try {
+      return await entry.cluster.call(name, 'status', {});
+    } catch (error) {
+      return { entry: name, unreachable: true, detail: String(error) };
+    }
   });
   return [entry.status(), ...(await Promise.all(others))];
 };
--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -15,7 +15,7 @@
 import { SlownessEstimate, findSlowRuns } from './SlownessEstimate';
 import { WorkerHealth } from './WorkerHealth';
 import { WorkerLife } from './WorkerLife';
-import type { LifeLegacy, Run } from './WorkerLife';
+import type { Inheritance, Run } from './WorkerLife';
 import type { WorkerPort, WorkerReport } from './WorkerPort';
 
 /** Counts and timings that an agent gives. */
@@ -59,7 +59,7 @@
   private life: WorkerLife | undefined;
 
   /** What the last life of the worker has left to the next. */
-  private legacy: LifeLegacy = { token: 0, doubtful: [] };
+  private inheritance: Inheritance = { token: 0, doubtful: [] };
 
   private health = this.createHealth();
 
@@ -135,6 +135,7 @@
     clearTimeout(this.viewTimer);
     this.owners.forEach(({ link }) => link.close());
     this.endLife('agent stopped');
+    this.inheritance = { ...this.inheritance, doubtful: [] };
   }
 
   /** What the entries are told. */
@@ -179,8 +180,8 @@
       replaced: () => this.endLife('another life answered'),
       log: this.parts.log,
     };
-    this.life = WorkerLife.create(report, host, this.legacy);
-    this.legacy = { ...this.legacy, doubtful: [] };
+    this.life = WorkerLife.create(report, host, this.inheritance);
+    this.inheritance = { ...this.inheritance, doubtful: [] };
     this.scheduleView();
   }
 
@@ -190,16 +191,16 @@
     this.life = undefined;
     const { id, born } = life.identity;
     this.parts.log.info({ worker: id, born, reason, runs: life.size }, 'worker_ended');
-    this.legacy = life.end();
-    const { doubtful } = this.legacy;
+    this.inheritance = life.end();
+    const { doubtful } = this.inheritance;
     if (doubtful.length > 0) setTimeout(() => this.giveUp(doubtful), DOUBT_MS);
     this.scheduleView();
   }
 
   /** Without a next life, doubtful runs have ended once their lease has. */
   private giveUp(doubtful: readonly Run[]): void {
-    if (this.legacy.doubtful !== doubtful) return;
-    this.legacy = { ...this.legacy, doubtful: [] };
+    if (this.inheritance.doubtful !== doubtful) return;
+    this.inheritance = { ...this.inheritance, doubtful: [] };
     doubtful.forEach((run) => this.noteEnd(run, 'lapsed'));
   }
 
--- a/packages/gate/src/WorkerLife.ts
+++ b/packages/gate/src/WorkerLife.ts
@@ -9,16 +9,14 @@
 import type { Resources, RunEnd, TaskName } from '@marjorammast/protocol';
 import type { Log } from '@marjorammast/telemetry';
 import {
-  CLOCK_TOLERANCE,
-  ENDED_MEMORY_MS,
   END_WAIT_MS,
-  LAPSE_SLACK_MS,
-  LEASE_MS,
   MISSES_ALLOWED,
   RENEW_PERIOD_MS,
   SETTLE_PAUSE_MS,
   STALL_MS,
 } from './constants';
+import { EndedRuns } from './EndedRuns';
+import { WorkerLease } from './WorkerLease';
 import type {
   HoldAnswer,
   ListedRun,
@@ -50,7 +48,7 @@
 };
 
 /** What a life of a worker takes over from the one before. */
-export type LifeLegacy = {
+export type Inheritance = {
   /** Highest token that the worker may have seen. */
   token: number;
   /** Runs whose start may have been carried out by either life. */
@@ -86,16 +84,11 @@
 
   private readonly runs = new Map<string, Run>();
 
-  private readonly recentEnds = new Map<string, { run: number; at: number }>();
+  private readonly endedRuns = EndedRuns.create();
 
   private lastEnd = 0;
 
-  private workerClock: number;
-
-  private workerClockAt = performance.now();
-
-  /** Monotonic time at which every lease has certainly ended. */
-  private lapsedAt = 0;
+  private readonly lease: WorkerLease;
 
   private misses = 0;
 
@@ -109,23 +102,23 @@
   private constructor(
     private report: WorkerReport,
     private readonly host: WorkerLifeHost,
-    legacy: LifeLegacy,
+    inheritance: Inheritance,
   ) {
     this.identity = { id: report.id, born: report.born };
-    this.token = Math.max(tokenAt(report.born, report.clock), legacy.token + 1);
+    this.token = Math.max(tokenAt(report.born, report.clock), inheritance.token + 1);
     this.shownToken = this.token;
-    this.workerClock = report.clock;
+    this.lease = WorkerLease.create(report.clock);
   }
 
   /**
    * @param report - first report of this life that the agent has received
    * @param host - what the life tells its agent
-   * @param legacy - what is left of the life before
+   * @param inheritance - what is left of the life before
    * @returns a life whose runs are being listed
    */
-  static create(report: WorkerReport, host: WorkerLifeHost, legacy: LifeLegacy): WorkerLife {
-    const life = new WorkerLife(report, host, legacy);
-    legacy.doubtful.forEach((run) => life.inherit(run));
+  static create(report: WorkerReport, host: WorkerLifeHost, inheritance: Inheritance): WorkerLife {
+    const life = new WorkerLife(report, host, inheritance);
+    inheritance.doubtful.forEach((run) => life.inherit(run));
     void life.watchEnds();
     life.renewal = setInterval(() => void life.renew(), RENEW_PERIOD_MS);
     return life;
@@ -220,7 +213,7 @@
    *
    * @returns what the next life takes over
    */
-  end(): LifeLegacy {
+  end(): Inheritance {
     this.isOver = true;
     clearInterval(this.renewal);
     const doubtful = this.select(({ isListed }) => !isListed);
@@ -239,22 +232,9 @@
     return { worker: this.identity, token: this.token };
   }
 
-  /** Reads the worker's clock, never ahead of it by more than its own tolerance. */
-  private clockNow(): number {
-    return this.workerClock + (performance.now() - this.workerClockAt) / CLOCK_TOLERANCE;
-  }
-
   private takeClock(clock: number | undefined): void {
     this.misses = 0;
-    if (clock === undefined || clock < this.clockNow()) return;
-    this.workerClock = clock;
-    this.workerClockAt = performance.now();
-  }
-
-  /** End of a new lease on the worker's clock; notes when it has ended for certain. */
-  private extendLease(): number {
-    this.lapsedAt = performance.now() + LEASE_MS * CLOCK_TOLERANCE + LAPSE_SLACK_MS;
-    return Math.floor(this.clockNow() + LEASE_MS);
+    if (clock !== undefined) this.lease.read(clock);
   }
 
   private async start(run: Run, spec: string): Promise<void> {
@@ -264,7 +244,7 @@
       task,
       run: run.run,
       spec,
-      leaseUntil: this.extendLease(),
+      leaseUntil: this.lease.extend(),
     });
     if (!this.isCurrent(run)) return;
     match(answer)
@@ -329,10 +309,10 @@
 
   private async renew(): Promise<void> {
     this.lapseIfSilent();
-    this.expireMemory();
+    this.endedRuns.expire();
     if (this.runs.size === 0) return;
     // A silent worker's lease is left to end: each unanswered renewal may have extended it.
-    const leaseUntil = this.misses < MISSES_ALLOWED ? this.extendLease() : undefined;
+    const leaseUntil = this.misses < MISSES_ALLOWED ? this.lease.extend() : undefined;
     const order = { ...this.order, lastEnd: this.lastEnd, leaseUntil, waitMs: 0 };
     const list = this.absorb(await this.host.port.hold(order));
     if (list) this.reviewProgress();
@@ -408,7 +388,10 @@
   }
 
   private takeRunning(running: readonly ListedRun[]): void {
-    const orphans = running.filter((row) => !this.noteProgress(row) && !this.isRemembered(row));
+    const orphans = running.filter(
+      // A list that was made before may still show what has ended meanwhile.
+      (row) => !this.noteProgress(row) && !this.endedRuns.has(row.task, row.run),
+    );
     orphans.forEach(({ task, run }) => {
       this.host.log.warn({ task: taskKey(task), run }, 'orphan_stopped');
       void this.host.port
@@ -433,12 +416,6 @@
     return true;
   }
 
-  /** True for a run that has ended since the list was made on another connection. */
-  private isRemembered({ task, run }: ListedRun): boolean {
-    const ended = this.recentEnds.get(taskKey(task));
-    return ended !== undefined && run <= ended.run;
-  }
-
   private reviewProgress(): void {
     const now = performance.now();
     const running = this.select((run) => run.state === 'running');
@@ -463,25 +440,17 @@
   /** Gives up runs whose lease has ended while the worker did not answer. */
   private lapseIfSilent(): void {
     if (this.misses < MISSES_ALLOWED || this.runs.size === 0) return;
-    if (performance.now() < this.lapsedAt) return;
+    if (!this.lease.hasEnded) return;
     // Only a clean list shows what the worker still runs.
     this.isClean = false;
     [...this.runs.values()].forEach((run) => this.finish(run, 'lapsed'));
   }
 
   private finish(run: Run, how: RunEnd): void {
-    const key = taskKey(run.task);
-    this.runs.delete(key);
-    this.recentEnds.set(key, { run: run.run, at: performance.now() });
+    this.runs.delete(taskKey(run.task));
+    this.endedRuns.note(run.task, run.run);
     this.host.ended(run, how);
   }
-
-  private expireMemory(): void {
-    const before = performance.now() - ENDED_MEMORY_MS;
-    this.recentEnds.forEach(({ at }, key) => {
-      if (at < before) this.recentEnds.delete(key);
-    });
-  }
 }
 
 type ListedRunEnd = Extract<RunEnd, 'done' | 'failed' | 'stopped' | 'lapsed'>;
--- a/packages/gate/tests/WorkerLife.test.ts
+++ b/packages/gate/tests/WorkerLife.test.ts
@@ -1,7 +1,7 @@
 import { createLog } from '@marjorammast/telemetry';
 import type { RunEnd } from '@marjorammast/protocol';
 import { WorkerLife } from '../src/WorkerLife';
-import type { LifeLegacy, Run, WorkerLifeHost } from '../src/WorkerLife';
+import type { Inheritance, Run, WorkerLifeHost } from '../src/WorkerLife';
 import type {
   HoldAnswer,
   HoldOrder,
@@ -49,7 +49,7 @@
 });
 
 /** A worker whose answers a test sets. */
-const createScene = (legacy: LifeLegacy = { token: 0, doubtful: [] }) => {
+const createScene = (inheritance: Inheritance = { token: 0, doubtful: [] }) => {
   const scene = {
     startAnswer: accepted as OrderAnswer,
     stopAnswer: accepted as OrderAnswer,
@@ -91,7 +91,7 @@
     replaced: jest.fn(),
     log: createLog('life', 'silent'),
   };
-  const life = WorkerLife.create(report, host, legacy);
+  const life = WorkerLife.create(report, host, inheritance);
   return Object.assign(scene, { life, host });
 };
 
--- a/packages/standins/src/WorkerStandIn.ts
+++ b/packages/standins/src/WorkerStandIn.ts
@@ -27,7 +27,7 @@
   | 'silent'
   /** Orders are carried out, and no answer is given. */
   | 'answerLost'
-  /** Orders get no answer and are carried out much later. */
+  /** Orders time out and take effect after a long delay. */
   | 'late'
   /** Runs make no progress. */
   | 'stuck';
@@ -177,7 +177,7 @@
   }
 
   /**
-   * Crashes and starts again under the same id, knowing nothing of before.
+   * Crashes and restarts under the same id; all its state is lost.
    *
    * @param clockRate - rate of its clock; 0.98 is as slow as is allowed
    */
