--- a/marjorammast-app/src/local/DispatchDeployment.ts
+++ b/marjorammast-app/src/local/DispatchDeployment.ts
@@ -59,10 +59,11 @@
 
 const readSpec = (spec: string): TaskSpec => JSON.parse(spec) as TaskSpec;
 
-const isUnreachable = (error: unknown): boolean =>
-  error instanceof Error &&
-  'code' in error &&
-  ['ECONNREFUSED', 'ECONNRESET', 'EPIPE'].includes(String(error.code));
+// No `instanceof`: in tests the error comes from another realm.
+const isUnreachable = (error: unknown): boolean => {
+  const { code = '' } = error as NodeJS.ErrnoException;
+  return ['ECONNREFUSED', 'ECONNRESET', 'EPIPE'].includes(code);
+};
 
 /** Gives the address under which a process reaches a place, such as that of a proxy between. */
 export type Detour = (from: string, place: string, address: string) => Promise<string>;
