--- a/marjorammast-app/src/agentFleet.ts
+++ b/marjorammast-app/src/agentFleet.ts
@@ -1,7 +1,7 @@
 import { Agent } from '@marjorammast/agent';
 import { createId, dial } from '@marjorammast/protocol';
 import { Timeline, createLog, createMetrics } from '@marjorammast/telemetry';
-import { z } from 'zod';
+import * as z from 'zod';
 import { loadSettings } from './settings';
 
 /** Time between two announcements of a target to its agent, in milliseconds. */
--- a/marjorammast-app/src/marjorammast.ts
+++ b/marjorammast-app/src/marjorammast.ts
@@ -10,7 +10,7 @@
   readDocument,
 } from '@marjorammast/settings';
 import type { DocumentResult } from '@marjorammast/settings';
-import type { z } from 'zod';
+import type * as z from 'zod';
 import { callEntry } from './callEntry';
 import type { EntryAnswer } from './callEntry';
 import { EXIT_USAGE } from './settings';
--- a/marjorammast-app/src/settings.ts
+++ b/marjorammast-app/src/settings.ts
@@ -1,4 +1,4 @@
-import type { z } from 'zod';
+import type * as z from 'zod';
 import { formatMistake, readDocument } from '@marjorammast/settings';
 import type { Log } from '@marjorammast/telemetry';
 
--- a/marjorammast-app/src/storeStandIn.ts
+++ b/marjorammast-app/src/storeStandIn.ts
@@ -1,5 +1,5 @@
 import { EtcdStandIn, createEtcdHttp } from '@marjorammast/standins';
-import { z } from 'zod';
+import * as z from 'zod';
 import { serveHttp } from './serveHttp';
 import { loadSettings } from './settings';
 
--- a/marjorammast-app/src/targetStandIn.ts
+++ b/marjorammast-app/src/targetStandIn.ts
@@ -1,7 +1,7 @@
 import { appendFileSync } from 'node:fs';
 import { TargetStandIn, behaviorSchema, createTargetHttp } from '@marjorammast/standins';
 import { createLog } from '@marjorammast/telemetry';
-import { z } from 'zod';
+import * as z from 'zod';
 import { serveHttp } from './serveHttp';
 import { loadSettings } from './settings';
 
--- a/packages/agent/src/runTask.ts
+++ b/packages/agent/src/runTask.ts
@@ -2,7 +2,7 @@
 // function.
 import request from 'undici/lib/api/api-request.js';
 import Pool from 'undici/lib/dispatcher/pool.js';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Outcome, StartParams } from '@marjorammast/protocol';
 
 /** Address of a target, its number of slots and the maximum number of connections to open to it. */
--- a/packages/agent/src/serveAgentHttp.ts
+++ b/packages/agent/src/serveAgentHttp.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import polka from 'polka';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Agent } from './Agent';
 
 /** Maximum length of an announcement's body, counted in characters, which are bytes for ASCII. */
--- a/packages/dispatch/src/AgentConnection.ts
+++ b/packages/dispatch/src/AgentConnection.ts
@@ -56,9 +56,12 @@
 
   private agentClockReadAt = 0;
 
-  private renewedAt = 0;
+  /** Monotonic time of the last assignment or renewal, in milliseconds. */
+  private lastContactAt = 0;
 
-  private isRenewing = false;
+  private renewalTimer: NodeJS.Timeout | undefined;
+
+  private renewalDueAt = Infinity;
 
   private failedAttempts = 0;
 
@@ -151,6 +154,8 @@
     if (!link) throw CallError.create('notSent', `${this.name} is not attached`);
     const reservation = scaleResources(assignment.needs, assignment.runs.length);
     this.reserved.add(reservation);
+    this.lastContactAt = performance.now();
+    this.scheduleRenewal(RENEW_PERIOD_MS);
     try {
       const heldMs = performance.now() - this.agentClockReadAt;
       const params = { ...assignment, echo: this.agentClock, heldMs };
@@ -185,37 +190,51 @@
     this.link?.notify('rules', rules);
   }
 
-  /**
-   * Sends a renewal when one is due. Without renewals the agent would stop the runs of this entry.
-   * While the entry has no runs at the agent, renewals are less frequent and only refresh the reading
-   * of the agent's clock.
-   */
-  renew(): void {
-    const { link } = this;
-    if (!link || this.isRenewing) return;
-    const periodMs = this.host.hasRuns(this.name) ? RENEW_PERIOD_MS : IDLE_RENEW_PERIOD_MS;
-    if (performance.now() - this.renewedAt < periodMs) return;
-    void this.sendRenewal(link);
-  }
-
   /** Closes the connection for good. */
   close(): void {
     this.isClosed = true;
     clearTimeout(this.reconnectTimer);
+    clearTimeout(this.renewalTimer);
     this.link?.close();
   }
 
+  /**
+   * Schedules a renewal for the given time after the last contact, unless one is due sooner. Without
+   * renewals the agent would stop the runs of this entry. An assignment counts as a renewal.
+   */
+  private scheduleRenewal(periodMs: number): void {
+    const dueAt = this.lastContactAt + periodMs;
+    if (dueAt >= this.renewalDueAt) return;
+    clearTimeout(this.renewalTimer);
+    this.renewalDueAt = dueAt;
+    this.renewalTimer = setTimeout(
+      () => void this.renew(),
+      Math.max(0, Math.ceil(dueAt - performance.now())),
+    );
+  }
+
+  /**
+   * Sends a renewal if one is due. While the entry has no runs at the agent, renewals are rare and only
+   * refresh the reading of the agent's clock.
+   */
+  private async renew(): Promise<void> {
+    const { link } = this;
+    this.renewalDueAt = Infinity;
+    if (!link) return;
+    const periodMs = this.host.hasRuns(this.name) ? RENEW_PERIOD_MS : IDLE_RENEW_PERIOD_MS;
+    const isDue = performance.now() >= this.lastContactAt + periodMs;
+    if (isDue) this.lastContactAt = performance.now();
+    this.scheduleRenewal(periodMs);
+    if (isDue) await this.sendRenewal(link);
+  }
+
   private async sendRenewal(link: Link): Promise<void> {
-    this.isRenewing = true;
-    this.renewedAt = performance.now();
     try {
       const { clock } = await link.call('renew', {}, AGENT_CALL_TIMEOUT_MS);
       this.recordClock(clock);
     } catch (error) {
       if (link.isOpen) this.logFailure('agent_silent', error);
       link.close();
-    } finally {
-      this.isRenewing = false;
     }
   }
 
@@ -248,6 +267,8 @@
       this.recordClock(answer.clock);
       this.link = link;
       this.failedAttempts = 0;
+      this.lastContactAt = performance.now();
+      this.scheduleRenewal(IDLE_RENEW_PERIOD_MS);
       link.onClose(() => this.handleClose(link));
       this.host.log.info({ agent: this.name }, 'agent_attached');
       this.host.onRules(answer.rules);
@@ -263,6 +284,8 @@
     if (this.link !== link) return;
     this.link = undefined;
     this.workerView = undefined;
+    clearTimeout(this.renewalTimer);
+    this.renewalDueAt = Infinity;
     this.host.log.warn({ agent: this.name }, 'agent_lost');
     this.host.onLost(this.name);
     this.scheduleReconnect();
--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -10,7 +10,7 @@
 import type { Log } from '@marjorammast/telemetry';
 import { ActiveJob } from './ActiveJob';
 import { AgentConnection } from './AgentConnection';
-import { DEADLINE_MARGIN_MS, MIN_RETRY_AFTER_MS, RENEW_PERIOD_MS } from './constants';
+import { DEADLINE_MARGIN_MS, MIN_RETRY_AFTER_MS } from './constants';
 import { chooseAgents } from './chooseAgents';
 import { Dispatcher } from './Dispatcher';
 import { findRoute } from './findRoute';
@@ -80,8 +80,6 @@
 
   private isDraining = false;
 
-  private readonly renewTimer: NodeJS.Timeout;
-
   private constructor(private readonly options: DispatchEntryOptions) {
     this.server = this.createServer();
     this.dispatcher = Dispatcher.create({
@@ -89,6 +87,7 @@
       connections: () => this.connections.values(),
       findConnection: (agent) => this.connections.get(agent),
       evacuatedDataCenters: () => this.rules.outDataCenters,
+      random: options.random,
       log: options.log,
     });
     this.peerClient = PeerClient.create({
@@ -97,10 +96,6 @@
       random: options.random,
       log: options.log,
     });
-    this.renewTimer = setInterval(
-      () => this.connections.forEach((connection) => connection.renew()),
-      RENEW_PERIOD_MS / 4,
-    );
   }
 
   /**
@@ -270,7 +265,6 @@
   /** Stops at once, as a crash would, without waiting for active jobs. */
   halt(): void {
     this.isDraining = true;
-    clearInterval(this.renewTimer);
     this.dispatcher.halt();
     this.connections.forEach((connection) => connection.close());
   }
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -1,20 +1,22 @@
 import { match } from 'ts-pattern';
-import { CallError, countFitting } from '@marjorammast/protocol';
+import { CallError } from '@marjorammast/protocol';
 import type { Params, RunEnd } from '@marjorammast/protocol';
 import type { Log } from '@marjorammast/telemetry';
 import type { ActiveJob } from './ActiveJob';
 import type { AgentConnection } from './AgentConnection';
 import {
   DECLINE_PAUSE_MS,
+  MAX_DISPATCH_PASS_INTERVAL_MS,
   MAX_LATENESS_FACTOR,
-  MIN_RETRY_AFTER_MS,
-  NO_WORKERS_RETRY_AFTER_MS,
-  DISPATCH_PASS_INTERVAL_MS,
   RUN_EXPIRY_MS,
 } from './constants';
-import type { JobOutcome } from './job';
+import { findRefusal } from './findRefusal';
+import type { Refusal } from './findRefusal';
 import { placeTasks } from './placeTasks';
-import type { Candidate, Placement } from './placeTasks';
+import type { Placement } from './placeTasks';
+import { QueueEstimate, workOf } from './QueueEstimate';
+import { sortWaitingJobs } from './sortWaitingJobs';
+import { WorkerRooms } from './WorkerRooms';
 
 /** What the dispatcher needs from its entry. */
 export type DispatcherHost = {
@@ -23,12 +25,17 @@
   findConnection: (agent: string) => AgentConnection | undefined;
   /** Data centres that operators have evacuated: their agents get no tasks. */
   evacuatedDataCenters: () => readonly string[];
+  /** Uniform random numbers in [0, 1). */
+  random: () => number;
   log: Log;
 };
 
 /** A run that was assigned to an agent and has not ended. */
 type OutstandingRun = { job: ActiveJob; index: number; run: number };
 
+/** Work of one queue in a pass, in thousandths of a core times milliseconds. */
+type PassLoad = { placedWork: number; waitingWork: number };
+
 /** Assigns the tasks of accepted jobs to agents and applies the results of their runs to the jobs. */
 export class Dispatcher {
   /** Jobs with waiting tasks. */
@@ -37,6 +44,9 @@
   /** Runs that have not ended, by agent, then by job and task index. */
   private readonly runsByAgent = new Map<string, Map<string, OutstandingRun>>();
 
+  /** How long queued work waits, by service and lateness. */
+  private readonly estimates = new Map<string, QueueEstimate>();
+
   private isPassScheduled = false;
 
   private passTimer: NodeJS.Timeout | undefined;
@@ -147,111 +157,109 @@
   private runPass(): void {
     clearTimeout(this.passTimer);
     if (this.queue.size === 0) return;
-    const connections = [...this.host.connections()];
-    const bestSlownessByService = new Map<string, number>();
-    const bestSlownessOf = (service: string) => {
-      const bestSlowness =
-        bestSlownessByService.get(service) ?? this.findBestSlowness(connections, service);
-      bestSlownessByService.set(service, bestSlowness);
-      return bestSlowness;
+    const now = performance.now();
+    const roomsByService = new Map<string, WorkerRooms>();
+    const roomsOf = (service: string): WorkerRooms => {
+      const rooms = roomsByService.get(service) ?? this.findRooms(service, now);
+      roomsByService.set(service, rooms);
+      return rooms;
     };
-    this.sortQueue(bestSlownessOf).forEach((job) =>
-      this.placeJob(job, connections, bestSlownessOf(job.route.service)),
-    );
+    const jobs = sortWaitingJobs(this.queue, (service) => roomsOf(service).bestSlowness, now);
+    const loads = new Map<QueueEstimate, PassLoad>();
+    jobs.forEach(({ job, isLate }) => {
+      const { service } = job.route;
+      const estimate = this.estimateOf(service, isLate);
+      const load = loads.get(estimate) ?? { placedWork: 0, waitingWork: 0 };
+      loads.set(estimate, load);
+      this.placeJob(job, roomsOf(service), load);
+      this.refuseIfHopeless(job, roomsOf(service), estimate.waitMsFor(load.waitingWork));
+    });
+    loads.forEach(({ placedWork, waitingWork }, estimate) => {
+      estimate.record(placedWork, waitingWork > 0, now);
+    });
     if (this.queue.size > 0) {
-      this.passTimer = setTimeout(() => this.runPass(), DISPATCH_PASS_INTERVAL_MS);
+      this.passTimer = setTimeout(() => this.runPass(), MAX_DISPATCH_PASS_INTERVAL_MS);
     }
   }
 
-  /**
-   * Sorts jobs that can still meet their latency objective before those that cannot, then by
-   * priority, then by the time of the objective.
-   */
-  private sortQueue(bestSlownessOf: (service: string) => number): ActiveJob[] {
-    const now = performance.now();
-    return [...this.queue]
-      .map((job) => {
-        const slowness = bestSlownessOf(job.route.service);
-        const { objectiveAt } = job;
-        return { job, objectiveAt, isLate: now + job.step.estimateMs * slowness > objectiveAt };
-      })
-      .sort(
-        (a, b) =>
-          Number(a.isLate) - Number(b.isLate) ||
-          a.job.route.priority - b.job.route.priority ||
-          a.objectiveAt - b.objectiveAt,
-      )
-      .map(({ job }) => job);
+  private findRooms(service: string, now: number): WorkerRooms {
+    const evacuatedDataCenters = this.host.evacuatedDataCenters();
+    const { dataCenter } = this.host;
+    const filter = { dataCenter, evacuatedDataCenters, now };
+    return WorkerRooms.create(this.host.connections(), service, filter);
   }
 
-  /**
-   * Finds the slowness of a service's fast workers: the first quartile over its open workers, so
-   * that one outlier does not decide.
-   */
-  private findBestSlowness(connections: readonly AgentConnection[], service: string): number {
-    const values = connections
-      .flatMap(({ view }) =>
-        view && view.service === service && view.state === 'open' ? [view.slowness] : [],
-      )
-      .sort((a, b) => a - b);
-    return values[Math.floor(values.length / 4)] ?? 1;
+  /** Jobs that are late wait for others, so their rate is estimated by itself. */
+  private estimateOf(service: string, isLate: boolean): QueueEstimate {
+    const key = `${service} ${isLate}`;
+    const estimate = this.estimates.get(key) ?? QueueEstimate.create();
+    this.estimates.set(key, estimate);
+    return estimate;
   }
 
-  private placeJob(
-    job: ActiveJob,
-    connections: readonly AgentConnection[],
-    bestSlowness: number,
-  ): void {
-    const now = performance.now();
+  private placeJob(job: ActiveJob, rooms: WorkerRooms, load: PassLoad): void {
+    this.refuseIfHopeless(job, rooms);
+    if (!job.isOpen) return;
     const { step, objectiveAt } = job;
-    const refusal = job.isCommitted ? undefined : this.findRefusal(job, connections, bestSlowness);
-    if (refusal) {
-      job.settle(refusal);
-      return;
-    }
-    const goal = { estimateMs: step.estimateMs, slackMs: objectiveAt - now, bestSlowness };
+    const waitingBefore = job.waitingTasks.length;
+    const { bestSlowness } = rooms;
+    const slackMs = objectiveAt - performance.now();
+    const goal = { estimateMs: step.estimateMs, slackMs, bestSlowness };
     this.groupWaitingTasks(job).forEach(({ indexes, avoidedAgents }) => {
-      const candidates = this.findCandidates(job, connections, avoidedAgents);
-      const placements = placeTasks(candidates, { ...goal, count: indexes.length });
+      const candidates = rooms.findCandidates(step, avoidedAgents);
+      if (candidates.length === 0) return;
+      const count = indexes.length;
       let assignedCount = 0;
-      placements.forEach((placement) => {
-        this.assign(
-          job,
-          placement,
-          indexes.slice(assignedCount, assignedCount + placement.count),
-          bestSlowness,
-        );
-        assignedCount += placement.count;
+      placeTasks(candidates, { ...goal, count }, this.host.random).forEach((placement) => {
+        const end = assignedCount + placement.count;
+        this.assign(job, placement, indexes.slice(assignedCount, end), bestSlowness);
+        rooms.refresh(placement.agent);
+        assignedCount = end;
       });
     });
-    if (job.waitingTasks.length === 0) this.queue.delete(job);
+    const waitingTasks = job.waitingTasks.length;
+    load.placedWork += workOf(step, waitingBefore - waitingTasks);
+    load.waitingWork += workOf(step, waitingTasks);
+    if (waitingTasks === 0) this.queue.delete(job);
   }
 
   /**
-   * Decides whether to refuse a job that has no started or assigned run. The job is refused when even
-   * a fast worker would end it too late to be of use, or when its service still has no workers after
-   * a quarter of the time from its arrival to its latency objective.
+   * Refuses a job that has no started or assigned run and cannot be served in time.
+   *
+   * @param job - the job
+   * @param rooms - workers of its service
+   * @param estimatedWaitMs - estimated time until its last task starts, in milliseconds
    */
-  private findRefusal(
-    job: ActiveJob,
-    connections: readonly AgentConnection[],
-    bestSlowness: number,
-  ): JobOutcome | undefined {
+  private refuseIfHopeless(job: ActiveJob, rooms: WorkerRooms, estimatedWaitMs?: number): void {
+    if (job.isCommitted || !job.isOpen) return;
     const now = performance.now();
-    const { step, route, arrivedAt, deadlineAt } = job;
+    const { step, arrivedAt, deadlineAt } = job;
     const objectiveMs = job.objectiveAt - arrivedAt;
-    const lastStartAt =
-      Math.min(deadlineAt, arrivedAt + MAX_LATENESS_FACTOR * objectiveMs) -
-      step.estimateMs * bestSlowness;
-    if (now > lastStartAt) {
-      const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, step.estimateMs);
-      return { type: 'refused', reason: 'noRoom', retryAfterMs };
-    }
-    const hasWorkers = connections.some(
-      ({ view }) => view?.service === route.service && view.state !== 'closed',
+    const usefulUntil = Math.min(deadlineAt, arrivedAt + MAX_LATENESS_FACTOR * objectiveMs);
+    const startWithinMs = usefulUntil - step.estimateMs * rooms.bestSlowness - now;
+    const ageMs = now - arrivedAt;
+    const { hasWorkers } = rooms;
+    const refusal = findRefusal(
+      { ageMs, objectiveMs, startWithinMs, estimatedWaitMs, hasWorkers },
+      this.host.random(),
     );
-    if (hasWorkers || now < arrivedAt + objectiveMs / 4) return undefined;
-    return { type: 'refused', reason: 'noWorkers', retryAfterMs: NO_WORKERS_RETRY_AFTER_MS };
+    if (refusal) this.refuse(job, refusal, { ageMs, startWithinMs, estimatedWaitMs });
+  }
+
+  private refuse(job: ActiveJob, refusal: Refusal, inputs: Record<string, number | undefined>) {
+    const rounded = Object.entries(inputs).map(([key, ms]) => [key, ms && Math.round(ms)]);
+    const { reason, retryAfterMs } = refusal;
+    this.host.log.info(
+      {
+        job: job.id,
+        reason,
+        retryAfterMs: Math.round(retryAfterMs),
+        queued: this.queue.size,
+        ...Object.fromEntries(rounded),
+      },
+      'job_refused',
+    );
+    job.settle({ type: 'refused', ...refusal });
   }
 
   /**
@@ -278,35 +286,6 @@
     ];
   }
 
-  /** Finds agents that could run tasks of a job; avoided agents only when there are no others. */
-  private findCandidates(
-    { route, step }: ActiveJob,
-    connections: readonly AgentConnection[],
-    avoidedAgents: ReadonlySet<string>,
-  ): Candidate[] {
-    const now = performance.now();
-    const evacuated = this.host.evacuatedDataCenters();
-    const usable = connections.flatMap((connection): Candidate[] => {
-      const { view, agent, pausedUntil } = connection;
-      if (!view || view.state === 'closed' || view.service !== route.service) return [];
-      if (now < pausedUntil || evacuated.includes(agent.dataCenter)) return [];
-      if (step.label && !view.labels.includes(step.label)) return [];
-      const fitting = countFitting(step.needs, connection.free);
-      const limit = step.maxPerWorker > 0 ? step.maxPerWorker : Infinity;
-      return [
-        {
-          agent: agent.name,
-          isLocal: agent.dataCenter === this.host.dataCenter,
-          isNearData: !step.nearRack || view.labels.includes(step.nearRack),
-          fittingTasks: Math.min(fitting, limit, view.state === 'trial' ? 1 : Infinity),
-          slowness: view.slowness,
-        },
-      ];
-    });
-    const preferred = usable.filter(({ agent }) => !avoidedAgents.has(agent));
-    return preferred.length > 0 ? preferred : usable;
-  }
-
   private assign(
     job: ActiveJob,
     { agent }: Placement,
--- /dev/null
+++ b/packages/dispatch/src/WorkerRooms.ts
@@ -0,0 +1,108 @@
+import { countFitting, fits } from '@marjorammast/protocol';
+import type { Resources, WorkerView } from '@marjorammast/protocol';
+import type { AgentConnection } from './AgentConnection';
+import type { Step } from './job';
+import type { Candidate } from './placeTasks';
+
+/** What placement needs to know of the entry and its data centres. */
+export type RoomFilter = {
+  /** Data centre of the entry. */
+  dataCenter: string;
+  /** Data centres whose agents get no tasks. */
+  evacuatedDataCenters: readonly string[];
+  /** Monotonic time, in milliseconds. */
+  now: number;
+};
+
+type Room = {
+  connection: AgentConnection;
+  view: WorkerView;
+  free: Resources;
+  isLocal: boolean;
+};
+
+/**
+ * Free resources of the workers of one service during one dispatch pass. Load pattern: many waiting jobs
+ * and many agents that are nearly all full. Each agent is looked at once, and a waiting job then costs
+ * one comparison for each agent instead of a candidate.
+ */
+export class WorkerRooms {
+  private constructor(
+    private readonly rooms: readonly Room[],
+    /**
+     * Slowness of the service's fast workers: the first quartile over its open workers, so that one
+     * outlier does not decide.
+     */
+    readonly bestSlowness: number,
+    /** True when the service has a worker that is not closed. */
+    readonly hasWorkers: boolean,
+  ) {}
+
+  /**
+   * @param connections - connections to all agents
+   * @param service - the service
+   * @param filter - what is known of the entry and its data centres
+   * @returns the rooms of the service's workers
+   */
+  static create(
+    connections: Iterable<AgentConnection>,
+    service: string,
+    { dataCenter, evacuatedDataCenters, now }: RoomFilter,
+  ): WorkerRooms {
+    const ofService = [...connections].flatMap((connection) => {
+      const { view, agent } = connection;
+      if (!view || view.service !== service || view.state === 'closed') return [];
+      return [{ connection, view, isLocal: agent.dataCenter === dataCenter }];
+    });
+    const slownessValues = ofService
+      .filter(({ view }) => view.state === 'open')
+      .map(({ view }) => view.slowness)
+      .sort((a, b) => a - b);
+    const rooms = ofService
+      .filter(
+        ({ connection: { agent, pausedUntil } }) =>
+          now >= pausedUntil && !evacuatedDataCenters.includes(agent.dataCenter),
+      )
+      .map((room) => ({ ...room, free: room.connection.free }));
+    const bestSlowness = slownessValues[Math.floor(slownessValues.length / 4)] ?? 1;
+    return new WorkerRooms(rooms, bestSlowness, ofService.length > 0);
+  }
+
+  /**
+   * Finds the workers that could run tasks of a step.
+   *
+   * @param step - the step
+   * @param avoidedAgents - agents that are used only when there are no others
+   * @returns one candidate for each worker with room for a task
+   */
+  findCandidates(step: Step, avoidedAgents: ReadonlySet<string>): Candidate[] {
+    const usable = this.rooms.filter(
+      ({ free, view }) =>
+        fits(step.needs, free) && (!step.label || view.labels.includes(step.label)),
+    );
+    const preferred = usable.filter(({ connection }) => !avoidedAgents.has(connection.name));
+    return (preferred.length > 0 ? preferred : usable).map((room) => this.toCandidate(room, step));
+  }
+
+  /**
+   * Updates the free resources of a worker after an assignment.
+   *
+   * @param agent - name of its agent
+   */
+  refresh(agent: string): void {
+    const room = this.rooms.find(({ connection }) => connection.name === agent);
+    if (room) room.free = room.connection.free;
+  }
+
+  private toCandidate({ connection, view, free, isLocal }: Room, step: Step): Candidate {
+    const limit = step.maxPerWorker > 0 ? step.maxPerWorker : Infinity;
+    const trialLimit = view.state === 'trial' ? 1 : Infinity;
+    return {
+      agent: connection.name,
+      isLocal,
+      isNearData: !step.nearRack || view.labels.includes(step.nearRack),
+      fittingTasks: Math.min(countFitting(step.needs, free), limit, trialLimit),
+      slowness: view.slowness,
+    };
+  }
+}
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -29,8 +29,11 @@
 /** Largest number of agents that an entry chooses to connect to. */
 export const MAX_ATTACHED_AGENTS = 64;
 
-/** Time between two dispatch passes while jobs with waiting tasks are queued, in milliseconds. */
-export const DISPATCH_PASS_INTERVAL_MS = 20;
+/** Longest time between two dispatch passes while jobs with waiting tasks are queued, in milliseconds. */
+export const MAX_DISPATCH_PASS_INTERVAL_MS = 20;
+
+/** Window over which the rate at which queued work is placed is averaged, in milliseconds. */
+export const QUEUE_ESTIMATE_WINDOW_MS = 1_000;
 
 /** A worker whose slowness is within this factor of the fast workers' counts as equally fast. */
 export const EQUAL_SLOWNESS_FACTOR = 1.35;
--- a/packages/dispatch/src/placeTasks.ts
+++ b/packages/dispatch/src/placeTasks.ts
@@ -49,22 +49,34 @@
  * agents in the entry's data centre, then those on whose workers the most tasks fit, so that a job
  * needs few messages.
  *
+ * Load pattern: several entries see the same free resources at the same time. The number of fitting tasks
+ * is therefore weighted by a random factor, so that they do not all choose the same worker.
+ *
  * @param candidates - agents that could run the tasks
  * @param goal - number of tasks to place, and the time that they have
+ * @param random - uniform random numbers in [0, 1)
  * @returns number of tasks for each chosen agent; in total fewer than `goal.count` if not all
  * tasks fit on acceptable workers
  */
-export const placeTasks = (candidates: readonly Candidate[], goal: PlacementGoal): Placement[] => {
+export const placeTasks = (
+  candidates: readonly Candidate[],
+  goal: PlacementGoal,
+  random: () => number,
+): Placement[] => {
   const speedTier = ({ slowness }: Candidate) =>
     slowness <= goal.bestSlowness * EQUAL_SLOWNESS_FACTOR ? 0 : slowness;
   const ranked = candidates
     .filter((candidate) => candidate.fittingTasks > 0 && isAcceptable(candidate, goal))
+    .map((candidate) => ({
+      ...candidate,
+      weight: candidate.fittingTasks * (0.5 + random()),
+    }))
     .sort(
       (a, b) =>
         speedTier(a) - speedTier(b) ||
         Number(b.isNearData) - Number(a.isNearData) ||
         Number(b.isLocal) - Number(a.isLocal) ||
-        b.fittingTasks - a.fittingTasks,
+        b.weight - a.weight,
     );
   const placements: Placement[] = [];
   let remaining = goal.count;
--- a/packages/dispatch/tests/AgentConnection.test.ts
+++ b/packages/dispatch/tests/AgentConnection.test.ts
@@ -2,6 +2,7 @@
 import { NO_RESOURCES } from '@marjorammast/protocol';
 import type { Link, WorkerView } from '@marjorammast/protocol';
 import { AgentConnection } from '../src/AgentConnection';
+import type { Assignment } from '../src/AgentConnection';
 
 const createView = (state: WorkerView['state']): WorkerView => ({
   service: 'desk',
@@ -57,4 +58,58 @@
     expect(connection.view?.state).toBe('open');
     connection.close();
   });
+
+  // The load: short tasks that are assigned many times a second. A renewal for each of them doubles the
+  // messages between entries and agents.
+  it('sends no renewal while assignments reach the agent more often than the renewal period', async () => {
+    jest.useFakeTimers();
+    const calls: string[] = [];
+    const rules = { revision: 0, outDataCenters: [] };
+    const answers: Record<string, object> = {
+      attach: { agent: 'a', dataCenter: 'one', rules, view: createView('open'), clock: 0 },
+      assign: { taken: [0], free: NO_RESOURCES, clock: 0 },
+      renew: { clock: 0 },
+    };
+    const link = {
+      isOpen: true,
+      call: (method: string) => {
+        calls.push(method);
+        return Promise.resolve(answers[method]);
+      },
+      onClose: jest.fn(),
+      close: jest.fn(),
+    } as unknown as Link;
+    const state = { hasRuns: true };
+    const connection = AgentConnection.create(
+      { name: 'a', address: '', dataCenter: 'one' },
+      {
+        entry: 'e',
+        dial: () => Promise.resolve(link),
+        rules: () => rules,
+        hasRuns: () => state.hasRuns,
+        onChange: jest.fn(),
+        onLost: jest.fn(),
+        onRules: jest.fn(),
+        random: () => 0,
+        log: createLog('connection', 'silent'),
+      },
+    );
+    const countRenewals = () => calls.filter((method) => method === 'renew').length;
+    const assign = () =>
+      connection.assign({ needs: NO_RESOURCES, runs: [[0, 1]] } as unknown as Assignment);
+    await jest.advanceTimersByTimeAsync(1);
+    for (let count = 0; count < 10; count += 1) {
+      await assign();
+      await jest.advanceTimersByTimeAsync(100);
+    }
+    expect(countRenewals()).toBe(0);
+    await jest.advanceTimersByTimeAsync(960);
+    expect(countRenewals()).toBe(6);
+    state.hasRuns = false;
+    await jest.advanceTimersByTimeAsync(9_000);
+    expect(countRenewals()).toBe(6);
+    connection.close();
+    expect(jest.getTimerCount()).toBe(0);
+    jest.useRealTimers();
+  });
 });
--- a/packages/dispatch/tests/Dispatcher.test.ts
+++ b/packages/dispatch/tests/Dispatcher.test.ts
@@ -40,6 +40,7 @@
     connections: () => agents,
     findConnection: (name) => agents.find((agent) => agent.name === name),
     evacuatedDataCenters: () => [],
+    random: () => 0,
     log: createLog('dispatcher', 'silent'),
   });
 
--- a/packages/dispatch/tests/placeTasks.test.ts
+++ b/packages/dispatch/tests/placeTasks.test.ts
@@ -1,4 +1,4 @@
-import fc from 'fast-check';
+import * as fc from 'fast-check';
 import { placeTasks } from '../src/placeTasks';
 import type { Candidate } from '../src/placeTasks';
 
@@ -10,6 +10,9 @@
   isNearData: fc.boolean(),
 });
 
+/** Random numbers under which equal candidates keep their order. */
+const evenly = () => 0.5;
+
 const goal = { count: 10, estimateMs: 100, slackMs: 150, bestSlowness: 1 };
 
 const createCandidate = (agent: string, fields: Partial<Candidate> = {}): Candidate => ({
@@ -25,7 +28,7 @@
   it('never gives an agent more tasks than fit, nor places more tasks than there are', () => {
     fc.assert(
       fc.property(fc.array(candidate, { maxLength: 20 }), fc.nat({ max: 40 }), (agents, count) => {
-        const placed = placeTasks(agents, { ...goal, count });
+        const placed = placeTasks(agents, { ...goal, count }, evenly);
         const total = placed.reduce((sum, { count: n }) => sum + n, 0);
         expect(total).toBeLessThanOrEqual(count);
         placed.forEach(({ agent, count: n }) => {
@@ -45,7 +48,7 @@
           count,
           equal.reduce((sum, { fittingTasks }) => sum + fittingTasks, 0),
         );
-        const placed = placeTasks(equal, { ...goal, count });
+        const placed = placeTasks(equal, { ...goal, count }, evenly);
         expect(placed.reduce((sum, { count: n }) => sum + n, 0)).toBe(expected);
       }),
       { seed: 73 },
@@ -97,7 +100,7 @@
     });
     fc.assert(
       fc.property(fc.array(candidate, { maxLength: 20 }), goals, (agents, placementGoal) => {
-        const placed = placeTasks(agents, placementGoal).map(
+        const placed = placeTasks(agents, placementGoal, evenly).map(
           ({ agent, count }) => [agent, count] as const,
         );
         expect(new Map(placed)).toEqual(placeOneByOne(agents, placementGoal));
@@ -115,19 +118,45 @@
         createCandidate('far', { isNearData: false, fittingTasks: 1 }),
       ],
       goal,
+      evenly,
     ).map(({ agent }) => agent);
     expect(order).toEqual(['local', 'roomy', 'far', 'slow']);
   });
 
   it('uses a slower worker if the objective is met on it or out of reach, and otherwise waits for a fast one', () => {
     const slow = [createCandidate('slow', { slowness: 2.2 })];
-    expect(placeTasks(slow, { ...goal, estimateMs: 1_000, slackMs: 1_800 })).toEqual([]);
-    expect(placeTasks(slow, { ...goal, estimateMs: 1_000, slackMs: 900 })).toHaveLength(1);
-    expect(placeTasks(slow, { ...goal, estimateMs: 50, slackMs: 150 })).toHaveLength(1);
+    expect(placeTasks(slow, { ...goal, estimateMs: 1_000, slackMs: 1_800 }, evenly)).toEqual([]);
+    expect(placeTasks(slow, { ...goal, estimateMs: 1_000, slackMs: 900 }, evenly)).toHaveLength(1);
+    expect(placeTasks(slow, { ...goal, estimateMs: 50, slackMs: 150 }, evenly)).toHaveLength(1);
   });
 
   it('never uses a worker that is many times slower, even when the objective is out of reach', () => {
     const slow = [createCandidate('crawling', { slowness: 7 })];
-    expect(placeTasks(slow, { ...goal, estimateMs: 1_000, slackMs: 900 })).toEqual([]);
+    expect(placeTasks(slow, { ...goal, estimateMs: 1_000, slackMs: 900 }, evenly)).toEqual([]);
+  });
+
+  // The load: entries that see the same free resources at the same time. Without the random factor all of
+  // them choose the same worker, which declines what does not fit.
+  it('spreads entries that see the same workers at the same time', () => {
+    const workers = Array.from({ length: 20 }, (_, index) =>
+      createCandidate(`w-${index}`, { fittingTasks: 4 + (index % 3) }),
+    );
+    const countDeclined = (random: () => number): number => {
+      const room = new Map(workers.map(({ agent, fittingTasks }) => [agent, fittingTasks]));
+      return Array.from({ length: 10 }).reduce<number>((declined) => {
+        const [placement] = placeTasks(workers, { ...goal, count: 2 }, random);
+        const left = (room.get(placement?.agent ?? '') ?? 0) - 2;
+        room.set(placement?.agent ?? '', Math.max(0, left));
+        return declined + Math.max(0, -left);
+      }, 0);
+    };
+    const [first = 0, ...others] = fc.sample(fc.double({ min: 0, max: 0.999, noNaN: true }), {
+      numRuns: 400,
+      seed: 5,
+    });
+    const numbers = [first, ...others];
+    const seeded = () => numbers.pop() ?? first;
+    expect(countDeclined(evenly)).toBeGreaterThanOrEqual(14);
+    expect(countDeclined(seeded)).toBeLessThanOrEqual(7);
   });
 });
--- a/packages/entry/src/AgentRegistry.ts
+++ b/packages/entry/src/AgentRegistry.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { CLOCK_SKEW_MS, MAX_NOT_AFTER_MS } from '@marjorammast/protocol';
 import { swap } from '@marjorammast/store';
 import type { Store, StoredValue } from '@marjorammast/store';
--- a/packages/entry/src/http/createOperatorRoutes.ts
+++ b/packages/entry/src/http/createOperatorRoutes.ts
@@ -1,7 +1,7 @@
 import { Hono } from 'hono';
 import type { Context } from 'hono';
 import { match } from 'ts-pattern';
-import { z } from 'zod';
+import * as z from 'zod';
 import { CALL_TIMEOUT_MS, environmentSchema, failure } from '@marjorammast/protocol';
 import type { Environment } from '@marjorammast/protocol';
 import type { Entry } from '../Entry';
--- a/packages/entry/src/http/filters.ts
+++ b/packages/entry/src/http/filters.ts
@@ -1,6 +1,6 @@
 import type { Context, MiddlewareHandler } from 'hono';
 import { bodyLimit } from 'hono/body-limit';
-import type { z } from 'zod';
+import type * as z from 'zod';
 import { MAX_BODY_BYTES, failure } from '@marjorammast/protocol';
 import type { Log, Metrics } from '@marjorammast/telemetry';
 import { problem } from './problem';
--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -11,12 +11,8 @@
 import type { Log } from '@marjorammast/telemetry';
 import { admit } from './admit';
 import type { AdmissionState } from './admit';
-import {
-  UNCONFIRMED_RUN_MS,
-  ENTRY_CHECK_PERIOD_MS,
-  ENTRY_TIMEOUT_MS,
-  VIEW_DELAY_MS,
-} from './constants';
+import { STOP_POLL_PERIOD_MS, UNCONFIRMED_RUN_MS } from './constants';
+import { EntryConnections } from './EntryConnections';
 import { SlownessEstimate, findSlowRuns } from './SlownessEstimate';
 import { WorkerHealth } from './WorkerHealth';
 import { WorkerSession } from './WorkerSession';
@@ -40,27 +36,6 @@
   meter: GateMeter;
 };
 
-type EntryConnection = {
-  /** Unique for each connection, also among those of one entry. */
-  id: string;
-  link: Link;
-  entry: string;
-  /** Monotonic time of the last assignment or renewal, in milliseconds. */
-  lastContactAt: number;
-  /** Ends of runs that are sent together at the end of the current event-loop turn. */
-  pendingEnds: Params<'ended'>['runs'];
-  /**
-   * True when runs of the last assignment were declined. The view is then sent as soon as the next run
-   * ends.
-   */
-  wasDeclined: boolean;
-  /**
-   * Last view sent to the entry, as JSON. Empty when the entry has since received the free resources
-   * in another message.
-   */
-  sentView: string;
-};
-
 type Assignment = Params<'assign'>;
 
 /**
@@ -80,21 +55,23 @@
 
   private rules: AdmissionRules = { revision: 0, outDataCenters: [] };
 
-  private readonly connections = new Map<Link, EntryConnection>();
-
-  private connectionCount = 0;
+  private readonly connections: EntryConnections;
 
   private slowness = SlownessEstimate.create();
 
   private isStopping = false;
 
-  private viewTimer: NodeJS.Timeout | undefined;
-
-  private readonly entryCheckTimer: NodeJS.Timeout;
+  /** Ends an ejection or a slowdown, which changes the view without any other event. */
+  private recoveryTimer: NodeJS.Timeout | undefined;
 
   private constructor(private readonly options: GateAgentOptions) {
     this.server = this.createServer();
-    this.entryCheckTimer = setInterval(() => this.checkEntries(), ENTRY_CHECK_PERIOD_MS);
+    this.connections = EntryConnections.create({
+      view: () => this.view,
+      ownersOfRuns: () => new Set(this.session?.select(() => true).map((run) => run.ownerId)),
+      onDetached: (id) => this.stopRuns((run) => run.ownerId === id),
+      log: options.log,
+    });
   }
 
   /**
@@ -138,17 +115,18 @@
   async stop(timeoutMs: number): Promise<void> {
     this.isStopping = true;
     this.options.log.info({ runs: this.session?.runCount ?? 0 }, 'stopping');
-    this.sendViewToAll();
+    this.connections.handleChange();
     const end = performance.now() + timeoutMs;
-    while ((this.session?.runCount ?? 0) > 0 && performance.now() < end) await sleep(VIEW_DELAY_MS);
+    while ((this.session?.runCount ?? 0) > 0 && performance.now() < end) {
+      await sleep(STOP_POLL_PERIOD_MS);
+    }
     this.halt();
   }
 
   /** Stops at once, without waiting for the runs in progress. */
   halt(): void {
-    clearInterval(this.entryCheckTimer);
-    clearTimeout(this.viewTimer);
-    this.connections.forEach(({ link }) => link.close());
+    clearTimeout(this.recoveryTimer);
+    this.connections.closeAll();
     this.endSession('agent stopped');
     this.handover = { ...this.handover, unconfirmed: [] };
   }
@@ -190,14 +168,14 @@
       worker: this.options.worker,
       onRunEnded: (run: Run, how: RunEnd) => this.handleRunEnd(run, how),
       onUnhealthy: (run: Run) => this.recordFailure(run, 'unhealthy'),
-      onChanged: () => this.scheduleView(),
+      onChanged: () => this.connections.handleChange(),
       findRunsToMove: (runs: readonly Run[]) => this.findRunsToMove(runs),
       onReplaced: () => this.endSession('another incarnation answered'),
       log: this.options.log,
     };
     this.session = WorkerSession.create(firstReport, host, this.handover);
     this.handover = { ...this.handover, unconfirmed: [] };
-    this.scheduleView();
+    this.connections.handleChange();
   }
 
   private endSession(reason: string): void {
@@ -209,7 +187,7 @@
     this.handover = session.end();
     const { unconfirmed: runs } = this.handover;
     if (runs.length > 0) setTimeout(() => this.expireUnconfirmed(runs), UNCONFIRMED_RUN_MS);
-    this.scheduleView();
+    this.connections.handleChange();
   }
 
   /**
@@ -231,7 +209,7 @@
         return {};
       },
       renew: (_, link) => {
-        this.recordContact(link);
+        this.connections.recordContact(link);
         return { clock: this.options.clock() };
       },
       rules: (rules) => {
@@ -242,36 +220,11 @@
   }
 
   private attach(entry: string, rules: AdmissionRules, link: Link): Result<'attach'> {
-    this.connectionCount += 1;
-    const id = `${entry}#${this.connectionCount}`;
-    const { view } = this;
-    this.connections.set(link, {
-      id,
-      link,
-      entry,
-      lastContactAt: performance.now(),
-      pendingEnds: [],
-      wasDeclined: false,
-      sentView: JSON.stringify(view),
-    });
-    link.onClose(() => this.detach(link));
+    this.connections.add(entry, link);
     this.applyRules(rules);
     this.options.log.info({ entry, revision: rules.revision }, 'entry_attached');
     const { name, dataCenter, clock } = this.options;
-    return { agent: name, dataCenter, rules: this.rules, view, clock: clock() };
-  }
-
-  private detach(link: Link): void {
-    const connection = this.connections.get(link);
-    if (!connection) return;
-    this.connections.delete(link);
-    const count = this.stopRuns((run) => run.ownerId === connection.id);
-    this.options.log.info({ entry: connection.entry, stopped: count }, 'entry_detached');
-  }
-
-  private recordContact(link: Link): void {
-    const connection = this.connections.get(link);
-    if (connection) connection.lastContactAt = performance.now();
+    return { agent: name, dataCenter, rules: this.rules, view: this.view, clock: clock() };
   }
 
   private applyRules(rules: AdmissionRules): void {
@@ -279,30 +232,23 @@
     this.rules = rules;
     const { revision, outDataCenters } = rules;
     this.options.log.info({ revision, out: outDataCenters.join(',') }, 'rules_applied');
-    this.connections.forEach(({ link }) => link.notify('rules', rules));
+    this.connections.sendRules(rules);
   }
 
   private assign(assignment: Assignment, link: Link): Result<'assign'> {
-    this.recordContact(link);
+    this.connections.recordContact(link);
     const { reason, count } = admit(assignment, this.admissionStateFor(assignment, link));
     const admitted = assignment.runs.slice(0, count);
     admitted.forEach(([index, run]) => this.startRun(assignment, index, run, link));
     const declined = assignment.runs.length - admitted.length;
-    const connection = this.connections.get(link);
-    // The entry also learns the free resources from the answer, so the last view is outdated there.
-    if (connection) Object.assign(connection, { wasDeclined: declined > 0, sentView: '' });
+    this.connections.recordAssignment(link, assignment.needs, declined > 0);
     this.options.meter.assigned(admitted.length, declined, reason ?? '');
+    const entry = this.connections.nameOf(link);
     this.options.log.info(
-      {
-        job: assignment.job,
-        taken: admitted.length,
-        declined,
-        reason,
-        entry: this.entryNameOf(link),
-      },
+      { job: assignment.job, taken: admitted.length, declined, reason, entry },
       'assigned',
     );
-    this.scheduleView();
+    this.connections.handleChange();
     return {
       taken: admitted.map(([index]) => index),
       reason: declined > 0 ? (reason ?? 'room') : undefined,
@@ -311,10 +257,6 @@
     };
   }
 
-  private entryNameOf(link: Link): string {
-    return this.connections.get(link)?.entry ?? link.name;
-  }
-
   private admissionStateFor(assignment: Assignment, link: Link): AdmissionState {
     const { session, options } = this;
     const { job, occurrence, step, echo, heldMs, runs } = assignment;
@@ -345,7 +287,7 @@
       {
         task: { job, occurrence, step, index },
         run,
-        ownerId: this.connections.get(link)?.id ?? '',
+        ownerId: this.connections.idOf(link),
         needs,
         estimateMs,
         bestSlowness,
@@ -375,10 +317,8 @@
     );
     if (how === 'done') this.recordSuccess(run, ms);
     if (how === 'failed') this.recordFailure(run, how);
-    const connection = [...this.connections.values()].find(({ id }) => id === run.ownerId);
-    if (connection) this.queueEnd(connection, run, how, ms);
-    this.notifyDeclinedEntries();
-    this.scheduleView();
+    this.connections.reportEnd(run, how, ms);
+    this.connections.handleChange();
   }
 
   private recordSuccess(run: Run, ms: number): void {
@@ -393,7 +333,8 @@
         { slowness: this.slowness.value, runs: runs.length },
         'slowness_changed',
       );
-      this.scheduleView();
+      this.connections.handleChange();
+      this.scheduleRecovery();
     }
     return findSlowRuns(runs, this.slowness.value, now);
   }
@@ -401,67 +342,24 @@
   private recordFailure(run: Run, how: string): void {
     if (!this.health.recordFailure(run.task.job)) return;
     this.options.log.warn({ job: run.task.job, how }, 'worker_ejected');
-    this.scheduleView();
+    this.connections.handleChange();
+    this.scheduleRecovery();
   }
 
-  /** Sends the view at once to entries whose last assignment was not admitted in full. */
-  private notifyDeclinedEntries(): void {
-    const declinedConnections = [...this.connections.values()].filter(
-      ({ wasDeclined }) => wasDeclined,
+  /** Updates the entries once an ejection or a slowdown is over. */
+  private scheduleRecovery(): void {
+    clearTimeout(this.recoveryTimer);
+    const now = performance.now();
+    const delays = [this.health.ejectionRemainingMs, this.slowness.slowdownRemainingMs(now)];
+    const delayMs = Math.min(...delays.filter((ms) => ms > 0));
+    if (!Number.isFinite(delayMs)) return;
+    this.recoveryTimer = setTimeout(
+      () => {
+        this.slowness.expireSlowdown(performance.now());
+        this.connections.handleChange();
+        this.scheduleRecovery();
+      },
+      Math.ceil(delayMs) + 1,
     );
-    if (declinedConnections.length === 0) return;
-    declinedConnections.forEach((connection) => Object.assign(connection, { wasDeclined: false }));
-    this.sendViewTo(declinedConnections);
-  }
-
-  private queueEnd(connection: EntryConnection, run: Run, how: RunEnd, ms: number): void {
-    if (connection.pendingEnds.length === 0) setImmediate(() => this.sendEnds(connection));
-    connection.pendingEnds.push([run.task.job, run.task.index, run.run, how, Math.round(ms)]);
-  }
-
-  private sendEnds(connection: EntryConnection): void {
-    const runs = connection.pendingEnds;
-    Object.assign(connection, { pendingEnds: [], sentView: '' });
-    connection.link.notify('ended', { runs, free: this.view.free });
-  }
-
-  private scheduleView(): void {
-    this.viewTimer ??= setTimeout(() => this.sendViewToAll(), VIEW_DELAY_MS);
-  }
-
-  private sendViewToAll(): void {
-    clearTimeout(this.viewTimer);
-    this.viewTimer = undefined;
-    this.sendViewTo([...this.connections.values()]);
-  }
-
-  /** Sends the view to entries, except those that already have it. */
-  private sendViewTo(connections: readonly EntryConnection[]): void {
-    const { view } = this;
-    const text = JSON.stringify(view);
-    connections
-      .filter(({ sentView }) => sentView !== text)
-      .forEach((connection) => {
-        Object.assign(connection, { sentView: text });
-        connection.link.notify('view', view);
-      });
-  }
-
-  /** Closes the connections to entries that have runs but have sent nothing for too long. */
-  private checkEntries(): void {
-    // The end of a slowdown or of an ejection changes the view without any other event.
-    this.slowness.expireSlowdown(performance.now());
-    this.scheduleView();
-    const oldestAllowed = performance.now() - ENTRY_TIMEOUT_MS;
-    const connectionsWithRuns = new Set(this.session?.select(() => true).map((run) => run.ownerId));
-    [...this.connections.values()]
-      .filter(
-        ({ id, lastContactAt }) => lastContactAt < oldestAllowed && connectionsWithRuns.has(id),
-      )
-      .forEach(({ link, entry, lastContactAt }) => {
-        const silentMs = Math.round(performance.now() - lastContactAt);
-        this.options.log.warn({ entry, silentMs }, 'entry_silent');
-        link.close();
-      });
   }
 }
--- a/packages/gate/src/SlownessEstimate.ts
+++ b/packages/gate/src/SlownessEstimate.ts
@@ -96,13 +96,22 @@
     return this.slowdown !== previous;
   }
 
+  /**
+   * @param now - monotonic time, in milliseconds
+   * @returns time until the present slowdown expires unless it is observed again, in milliseconds; 0
+   * or less without one
+   */
+  slowdownRemainingMs(now: number): number {
+    return this.slowdown > 1 ? this.slowdownCheckedAt + SLOWDOWN_EXPIRY_MS - now : 0;
+  }
+
   /**
    * Resets the slowdown factor when it has not been evaluated for {@link SLOWDOWN_EXPIRY_MS}.
    *
    * @param now - monotonic time, in milliseconds
    */
   expireSlowdown(now: number): void {
-    if (now - this.slowdownCheckedAt > SLOWDOWN_EXPIRY_MS) this.slowdown = 1;
+    if (now - this.slowdownCheckedAt >= SLOWDOWN_EXPIRY_MS) this.slowdown = 1;
   }
 }
 
--- a/packages/gate/src/WorkerHealth.ts
+++ b/packages/gate/src/WorkerHealth.ts
@@ -35,6 +35,11 @@
     return this.isOnTrial ? 'trial' : 'healthy';
   }
 
+  /** Time until the end of the present ejection, in milliseconds; 0 or less without one. */
+  get ejectionRemainingMs(): number {
+    return this.ejectedUntil - this.now();
+  }
+
   /** Records a task that succeeded. */
   recordSuccess(): void {
     this.failedJobs.clear();
--- a/packages/gate/src/WorkerLease.ts
+++ b/packages/gate/src/WorkerLease.ts
@@ -13,6 +13,9 @@
    */
   private expiresAt = 0;
 
+  /** Monotonic time of the last request, in milliseconds. */
+  private requestedAt = 0;
+
   private constructor(private clock: number) {}
 
   /**
@@ -28,6 +31,11 @@
     return performance.now() >= this.expiresAt;
   }
 
+  /** Monotonic time at which a lease was last requested, in milliseconds; 0 before the first. */
+  get extendedAt(): number {
+    return this.requestedAt;
+  }
+
   /**
    * Updates the estimate from a reading of the worker's clock. A reading behind the estimate is
    * ignored.
@@ -46,7 +54,8 @@
    * @returns the end on the worker's clock, in milliseconds
    */
   extend(): number {
-    this.expiresAt = performance.now() + LEASE_MS * CLOCK_RATE_TOLERANCE + EXPIRY_MARGIN_MS;
+    this.requestedAt = performance.now();
+    this.expiresAt = this.requestedAt + LEASE_MS * CLOCK_RATE_TOLERANCE + EXPIRY_MARGIN_MS;
     return Math.floor(this.workerTime() + LEASE_MS);
   }
 
--- a/packages/gate/src/WorkerSession.ts
+++ b/packages/gate/src/WorkerSession.ts
@@ -113,8 +113,15 @@
 
   private hasEnded = false;
 
+  /** Set while there are runs, whose lease has to be renewed. */
   private renewalTimer: NodeJS.Timeout | undefined;
 
+  /** True while a renewal that asks for an answer at once has none. */
+  private isRenewing = false;
+
+  /** Monotonic time of the last list of runs, in milliseconds. */
+  private listedAt = 0;
+
   private constructor(
     private report: WorkerReport,
     private readonly host: WorkerSessionHost,
@@ -142,7 +149,6 @@
     const session = new WorkerSession(report, host, handover);
     handover.unconfirmed.forEach((run) => session.adoptUnconfirmed(run));
     void session.watchEnds();
-    session.renewalTimer = setInterval(() => void session.renewLease(), RENEW_PERIOD_MS);
     return session;
   }
 
@@ -203,7 +209,7 @@
    * @param spec - specification of the task, passed to the worker
    */
   startRun(run: Run, spec: string): void {
-    this.runs.set(taskKey(run.task), run);
+    this.track(run);
     void this.sendStart(run, spec);
   }
 
@@ -241,7 +247,7 @@
    */
   end(): SessionHandover {
     this.hasEnded = true;
-    clearInterval(this.renewalTimer);
+    clearTimeout(this.renewalTimer);
     const unconfirmed = this.select(({ wasListed }) => !wasListed);
     this.select(({ wasListed }) => wasListed).forEach((run) => this.removeRun(run, 'lapsed'));
     this.host.onChanged();
@@ -249,7 +255,7 @@
   }
 
   private adoptUnconfirmed(run: Run): void {
-    this.runs.set(taskKey(run.task), run);
+    this.track(run);
     this.host.log.info({ task: taskKey(run.task), run: run.run }, 'run_inherited');
     void this.stopUntilConfirmed(run);
   }
@@ -342,26 +348,54 @@
     return this.handleHoldAnswer(answer);
   }
 
-  private async renewLease(): Promise<void> {
+  private track(run: Run): void {
+    this.runs.set(taskKey(run.task), run);
+    this.scheduleRenewal(RENEW_PERIOD_MS);
+  }
+
+  private scheduleRenewal(delayMs: number): void {
+    if (this.renewalTimer || this.hasEnded) return;
+    this.renewalTimer = setTimeout(() => {
+      this.renewalTimer = undefined;
+      this.renewLease();
+    }, delayMs);
+  }
+
+  /**
+   * Renews the lease of the runs and lists them, unless other calls have done both of late. Starts and
+   * the watch for ends renew the lease too, and the watch lists the runs.
+   */
+  private renewLease(): void {
     this.expireRunsIfUnresponsive();
     this.endedRuns.expire();
     if (this.runs.size === 0) return;
-    // Each unanswered renewal may have extended the lease, so the renewals of an unresponsive worker
-    // stop and the lease expires.
-    const leaseUntil =
-      this.unansweredCommands < UNANSWERED_COMMAND_LIMIT ? this.lease.extend() : undefined;
-    const command = { ...this.commandBase, lastEnd: this.lastEndNumber, leaseUntil, waitMs: 0 };
-    const list = this.handleHoldAnswer(await this.host.worker.hold(command));
+    const renewedAt = Math.min(this.lease.extendedAt, this.listedAt);
+    const remainingMs = Math.ceil(renewedAt + RENEW_PERIOD_MS - performance.now());
+    if (remainingMs <= 0) void this.listRuns(0);
+    this.scheduleRenewal(remainingMs > 0 ? remainingMs : RENEW_PERIOD_MS);
+  }
+
+  /**
+   * Lists the runs, and renews their lease if there are any. An unanswered renewal may have extended the
+   * lease, so there is no other one until it is answered: the lease of an unresponsive worker expires.
+   */
+  private async listRuns(waitMs: number): Promise<RunList | undefined> {
+    const isRenewal = this.runs.size > 0 && this.unansweredCommands === 0 && !this.isRenewing;
+    const leaseUntil = isRenewal ? this.lease.extend() : undefined;
+    if (waitMs === 0 && isRenewal) this.isRenewing = true;
+    const command = { ...this.commandBase, lastEnd: this.lastEndNumber, leaseUntil, waitMs };
+    const answer = await this.host.worker.hold(command);
+    if (waitMs === 0 && isRenewal) this.isRenewing = false;
+    const list = this.handleHoldAnswer(answer);
     if (list) this.stopStalledRuns();
+    return list;
   }
 
   /** Waits for ends of runs on the worker, with repeated long polls, until the session ends. */
   private async watchEnds(): Promise<void> {
     while (!this.hasEnded) {
       // While the worker has unknown runs, it answers at once instead of waiting for an end.
-      const waitMs = this.isReconciled ? LONG_POLL_MS : 0;
-      const command = { ...this.commandBase, lastEnd: this.lastEndNumber, waitMs };
-      const list = this.handleHoldAnswer(await this.host.worker.hold(command));
+      const list = await this.listRuns(this.isReconciled ? LONG_POLL_MS : 0);
       if ((!list || !this.isReconciled) && !this.hasEnded) await sleep(RETRY_PAUSE_MS);
     }
   }
@@ -377,6 +411,7 @@
         }
         const wasUnresponsive = this.unansweredCommands >= UNANSWERED_COMMAND_LIMIT;
         this.recordContact(list.clock);
+        this.listedAt = performance.now();
         list.ended.forEach((end) => this.recordEnd(end.number, end.task, end.run, end.how));
         this.reconcileRunning(list.running);
         if (wasUnresponsive) this.host.onChanged();
--- a/packages/gate/src/constants.ts
+++ b/packages/gate/src/constants.ts
@@ -37,15 +37,27 @@
  */
 export const ENTRY_TIMEOUT_MS = 500;
 
-/** Period of the check for silent entries, in milliseconds. */
-export const ENTRY_CHECK_PERIOD_MS = 50;
-
 /**
- * Time for which changes of the worker's state are collected before the agent sends the state to the
- * entries as a view, in milliseconds.
+ * Time for which changes of a worker are collected before an entry that has assigned tasks to it lately
+ * gets a view, in milliseconds.
  */
 export const VIEW_DELAY_MS = 120;
 
+/** The same time for entries that have not assigned tasks to the worker lately, in milliseconds. */
+export const IDLE_VIEW_DELAY_MS = 1_000;
+
+/** Time after its last assignment for which an entry counts as active at a worker, in milliseconds. */
+export const ACTIVE_ENTRY_MS = 1_000;
+
+/** Ratio of a worker's slowness to the known one from which an entry is told. */
+export const MIN_SLOWNESS_CHANGE = 1.1;
+
+/** Change of the number of fitting tasks from which an entry is told, if some fit before and after. */
+export const MIN_FITTING_TASKS_CHANGE = 2;
+
+/** Period of the check whether the runs of a stopping agent have ended, in milliseconds. */
+export const STOP_POLL_PERIOD_MS = 100;
+
 /** Weight of the newest run in the moving average of a worker's slowness. */
 export const SLOWNESS_WEIGHT = 0.08;
 
--- a/packages/gate/tests/WorkerSession.test.ts
+++ b/packages/gate/tests/WorkerSession.test.ts
@@ -220,4 +220,31 @@
     expect(fixture.ends).toEqual(['notRun']);
     fixture.session.end();
   });
+
+  // The load: many workers without work. Each timer and call of their agents is paid for nothing.
+  it('arms no timer and renews no lease while the worker has no runs', async () => {
+    const fixture = createFixture();
+    const { holds, host } = fixture;
+    host.worker.hold = (command) => {
+      holds.push(command);
+      return new Promise<HoldResult>(jest.fn());
+    };
+    await advance(5_000);
+    expect(holds.filter(({ leaseUntil }) => leaseUntil !== undefined)).toEqual([]);
+    expect(jest.getTimerCount()).toBe(0);
+    fixture.session.end();
+  });
+
+  it('renews the lease with the watch for ends, and by itself only when the watch waits', async () => {
+    const fixture = createFixture();
+    await advance(100);
+    fixture.holds.length = 0;
+    fixture.session.startRun(createRun(0), 'spec');
+    await advance(1_000);
+    const renewals = fixture.holds.filter(({ leaseUntil }) => leaseUntil !== undefined);
+    const extraRenewals = renewals.filter(({ waitMs }) => waitMs === 0);
+    expect(renewals.length).toBeGreaterThan(3);
+    expect(extraRenewals).toEqual([]);
+    fixture.session.end();
+  });
 });
--- a/packages/protocol/src/clusterMap.ts
+++ b/packages/protocol/src/clusterMap.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import { z } from 'zod';
+import * as z from 'zod';
 import { SHARD_COUNT } from './constants';
 
 const memberSchema = z.object({
--- a/packages/protocol/src/environment.ts
+++ b/packages/protocol/src/environment.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 const team = z.strictObject({
   /** Limit on concurrent tasks of the team in the whole system. */
--- a/packages/protocol/src/job.ts
+++ b/packages/protocol/src/job.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import { z } from 'zod';
+import * as z from 'zod';
 import { DEFAULT_DEADLINE_MS, MAX_DEADLINE_MS, MAX_TASKS_PER_JOB } from './constants';
 import { failureSchema } from './verdict';
 
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { clusterMapSchema } from './clusterMap';
 import { dispatchCallSchemas } from './dispatchMessages';
 import { releaseSchema, agentConfigurationSchema } from './environment';
--- a/packages/protocol/src/registration.ts
+++ b/packages/protocol/src/registration.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Roles under which processes register in the store for service discovery. */
 export type ProcessRole = 'agents' | 'entries';
--- a/packages/protocol/src/verdict.ts
+++ b/packages/protocol/src/verdict.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /**
  * States whether a request has run.
--- a/packages/settings/src/daemonSettings.ts
+++ b/packages/settings/src/daemonSettings.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 const address = z
   .string()
--- a/packages/settings/src/readDocument.ts
+++ b/packages/settings/src/readDocument.ts
@@ -1,7 +1,7 @@
 import { readFileSync } from 'node:fs';
 import { findNodeAtLocation, parse, parseTree, printParseErrorCode } from 'jsonc-parser';
 import type { ParseError } from 'jsonc-parser';
-import type { z } from 'zod';
+import type * as z from 'zod';
 
 /** One mistake in a document, with its position. */
 export type Mistake = { file: string; line: number; column: number; path: string; message: string };
--- a/packages/standins/src/EtcdStandIn.ts
+++ b/packages/standins/src/EtcdStandIn.ts
@@ -1,6 +1,6 @@
 import { Hono } from 'hono';
 import { stream } from 'hono/streaming';
-import { z } from 'zod';
+import * as z from 'zod';
 import { sleep } from '@marjorammast/protocol';
 
 /** Faults of etcd that can be simulated, and its rate limits. */
--- a/packages/standins/src/PlatformStoreStandIn.ts
+++ b/packages/standins/src/PlatformStoreStandIn.ts
@@ -1,6 +1,6 @@
 import { Hono } from 'hono';
 import type { Context } from 'hono';
-import { z } from 'zod';
+import * as z from 'zod';
 import { sleep } from '@marjorammast/protocol';
 import { Waiters, neverResolve } from './Waiters';
 
--- a/packages/standins/src/TargetStandIn.ts
+++ b/packages/standins/src/TargetStandIn.ts
@@ -1,5 +1,5 @@
 import { Hono } from 'hono';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Behaviour of a simulated target. */
 export const behaviorSchema = z.strictObject({
--- a/packages/store/src/createEtcdStore.ts
+++ b/packages/store/src/createEtcdStore.ts
@@ -1,5 +1,5 @@
 import { Pool } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 import { StoreError } from './Store';
 import type { Snapshot, Store } from './Store';
 
