--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -178,7 +178,7 @@
       estimate.record(placedWork, waitingWork > 0, now);
     });
     if (this.queue.size > 0) {
-      this.passTimer = setTimeout(() => this.runPass(), MAX_DISPATCH_PASS_INTERVAL_MS);
+      this.passTimer = setTimeout(() => this.schedulePass(), MAX_DISPATCH_PASS_INTERVAL_MS);
     }
   }
 
--- a/packages/dispatch/tests/Dispatcher.test.ts
+++ b/packages/dispatch/tests/Dispatcher.test.ts
@@ -1,6 +1,8 @@
+import { sleep } from '@marjorammast/protocol';
 import { createLog } from '@marjorammast/telemetry';
 import type { WorkerView } from '@marjorammast/protocol';
 import type { AgentConnection, Assignment } from '../src/AgentConnection';
+import { MAX_DISPATCH_PASS_INTERVAL_MS } from '../src/constants';
 import { Dispatcher } from '../src/Dispatcher';
 import { createTestJob } from './support';
 
@@ -64,4 +66,22 @@
     dispatcher.halt();
     expect(slow.assigned).toHaveLength(1);
   });
+
+  // After a pause of the VM its timers run before its sockets are read. What the sockets hold, such as the
+  // disconnect of a client, has to be handled before anything is assigned.
+  it('assigns nothing from its timer before the sockets have been read', async () => {
+    jest.useRealTimers();
+    const agent = createFakeAgent('busy', 1, 0);
+    const dispatcher = createDispatcher([agent.connection]);
+    const job = createTestJob(1, 100);
+    dispatcher.add(job);
+    await sleep(5);
+    Object.assign(agent.connection, { free: resourcesFor(5) });
+    const pausedUntil = performance.now() + 2 * MAX_DISPATCH_PASS_INTERVAL_MS;
+    setImmediate(() => dispatcher.remove(job));
+    while (performance.now() < pausedUntil);
+    await sleep(50);
+    expect(agent.assigned).toEqual([]);
+    dispatcher.halt();
+  });
 });
--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -17,7 +17,7 @@
 import { WorkerHealth } from './WorkerHealth';
 import { WorkerSession } from './WorkerSession';
 import type { SessionHandover, Run } from './WorkerSession';
-import type { WorkerClient, WorkerReport } from './WorkerClient';
+import type { WorkerClient, WorkerIdentity, WorkerReport } from './WorkerClient';
 
 /** Metrics that an agent reports. */
 export type GateMeter = {
@@ -48,6 +48,9 @@
 
   private session: WorkerSession | undefined;
 
+  /** The incarnation of the worker that deregistered last. */
+  private departed: WorkerIdentity | undefined;
+
   /** State that the last session with the worker has passed on to the next. */
   private handover: SessionHandover = { token: 0, unconfirmed: [] };
 
@@ -93,8 +96,10 @@
       session.update(workerReport);
       return;
     }
-    // A report of an earlier incarnation may arrive late.
+    // Reports may arrive late: of an earlier incarnation, or of one that has left since.
     if (session && workerReport.born < session.identity.born) return;
+    const { id, born } = workerReport;
+    if (this.departed?.id === id && this.departed.born === born) return;
     this.beginSession(workerReport);
   }
 
@@ -104,7 +109,9 @@
    * @param id - identifier of the worker
    */
   handleDeregistration(id: string): void {
-    if (this.session?.identity.id === id) this.endSession('worker deregistered');
+    if (this.session?.identity.id !== id) return;
+    this.departed = this.session.identity;
+    this.endSession('worker deregistered');
   }
 
   /**
--- a/packages/gate/tests/GateAgent.test.ts
+++ b/packages/gate/tests/GateAgent.test.ts
@@ -100,4 +100,26 @@
     expect(second.views.pop()?.state).toBe('open');
     agent.halt();
   });
+
+  // A report that the network held back may arrive after its worker has left.
+  it('does not use a worker again for a report that it sent before it deregistered', async () => {
+    const agent = GateAgent.create({
+      name: 'agent',
+      dataCenter: 'one',
+      worker: createWorkerClient(() => true),
+      clock: () => performance.now(),
+      log: createLog('agent', 'silent'),
+      meter: { assigned: jest.fn(), ended: jest.fn() },
+    });
+    agent.handleReport(report);
+    await jest.advanceTimersByTimeAsync(10);
+    expect(agent.view.state).toBe('open');
+    agent.handleDeregistration(report.id);
+    agent.handleReport({ ...report, sequence: 2 });
+    await jest.advanceTimersByTimeAsync(10);
+    expect(agent.view).toMatchObject({ state: 'closed', reason: 'no worker' });
+    agent.handleReport({ ...report, born: report.born + 1 });
+    expect(agent.view.reason).toBe('runs unknown');
+    agent.halt();
+  });
 });
