Messages that cannot be handled get a line; registrations and configuration are decoded once

Cause: a call that failed its schema left no trace (Link swallowed the error in receive and in two listeners). At a start each entry decoded all registrations and ranked all agents by hash with every registration that arrived (195 times 195), and the configuration with each of them.

Change: createCallServer takes a listener for faults; the daemons log message_failed with method, peer and reason, five lines a second at most, the rest counted. createRegistrationDecoder and createOperatorStateDecoder decode changed items only; ranks are kept.

--- a/marjorammast-app/src/dispatchEntry.ts
+++ b/marjorammast-app/src/dispatchEntry.ts
@@ -3,9 +3,9 @@
   createClientHttp,
   createPlatformStore,
   createReadinessHttp,
-  decodeOperatorState,
+  createOperatorStateDecoder,
 } from '@marjorammast/platform';
-import { decodeRegistrations, dial, listen } from '@marjorammast/protocol';
+import { createRegistrationDecoder, dial, listen } from '@marjorammast/protocol';
 import { dispatchSettingsSchema } from '@marjorammast/settings';
 import { StoreMirror, registerProcess } from '@marjorammast/store';
 import { createPrometheusMetrics } from '@marjorammast/telemetry';
@@ -45,13 +45,17 @@
   metrics.gauge('marjorammast_agents', 'Agents attached', () => entry.attachedAgents);
   metrics.gauge('marjorammast_open_workers', 'Workers that take work', () => entry.openWorkers);
   const platformStore = createPlatformStore(store);
+  const decodeOperatorState = createOperatorStateDecoder(log);
+  const decodeRegistrations = createRegistrationDecoder((key) =>
+    log.warn({ key }, 'malformed_registration'),
+  );
   const mirror = StoreMirror.create({
     store: platformStore,
     prefix: '',
     waitMs: WATCH_TIMEOUT_MS,
     onChange: (items, revision) => {
       entry.updatePeers(decodeRegistrations('entries', items.values()));
-      entry.configure(decodeOperatorState(items, log), revision);
+      entry.configure(decodeOperatorState(items), revision);
       entry.updateAgents(decodeRegistrations('agents', items.values()));
     },
     random: Math.random,
--- a/packages/agent/src/Agent.ts
+++ b/packages/agent/src/Agent.ts
@@ -10,6 +10,7 @@
   AgentConfiguration,
   StartParams,
 } from '@marjorammast/protocol';
+import { createLimitedWarning } from '@marjorammast/telemetry';
 import type { Log, Metrics, Timeline } from '@marjorammast/telemetry';
 import {
   CREDIT_AUDIT_AFTER_MS,
@@ -181,25 +182,28 @@
   }
 
   private createServer(): CallServer {
-    return createCallServer({
-      start: (start, link) => this.handleStart(start, this.entryLinkOf(link)),
-      fence: ({ claims }) => ({
-        incarnation: this.incarnation,
-        records: this.records.fence(claims),
-      }),
-      outcome: (params) => this.awaitOutcome(params),
-      cancel: ({ job, index }) => {
-        this.abortControllers.get(`${job}#${index}`)?.abort();
-        return {};
-      },
-      configure: ({ slice, entries }) => {
-        this.applyConfiguration(slice);
-        this.setEntryAddresses(entries);
-        return { version: this.configuration.version };
+    return createCallServer(
+      {
+        start: (start, link) => this.handleStart(start, this.entryLinkOf(link)),
+        fence: ({ claims }) => ({
+          incarnation: this.incarnation,
+          records: this.records.fence(claims),
+        }),
+        outcome: (params) => this.awaitOutcome(params),
+        cancel: ({ job, index }) => {
+          this.abortControllers.get(`${job}#${index}`)?.abort();
+          return {};
+        },
+        configure: ({ slice, entries }) => {
+          this.applyConfiguration(slice);
+          this.setEntryAddresses(entries);
+          return { version: this.configuration.version };
+        },
+        events: ({ sinceMs, job }) => ({ events: this.options.timeline.select(sinceMs, job) }),
+        status: () => this.status(),
       },
-      events: ({ sinceMs, job }) => ({ events: this.options.timeline.select(sinceMs, job) }),
-      status: () => this.status(),
-    });
+      createLimitedWarning(this.options.log, 'message_failed'),
+    );
   }
 
   private entryLinkOf(link: Link): EntryLink {
--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -7,11 +7,12 @@
   OperatorState,
   Route,
 } from '@marjorammast/protocol';
+import { createLimitedWarning } from '@marjorammast/telemetry';
 import type { Log } from '@marjorammast/telemetry';
 import { ActiveJob } from './ActiveJob';
 import { AgentConnection } from './AgentConnection';
 import { DEADLINE_MARGIN_MS, MIN_RETRY_AFTER_MS } from './constants';
-import { chooseAgents } from './chooseAgents';
+import { chooseAgents, createAgentRanking } from './chooseAgents';
 import { Dispatcher } from './Dispatcher';
 import { findRoute } from './findRoute';
 import { unsupportedFeature } from './job';
@@ -65,6 +66,8 @@
   /** Jobs that have not been answered, each with the number of clients that wait for it. */
   private readonly jobs = new Map<string, { job: ActiveJob; waiters: number }>();
 
+  private readonly rankOf: (agent: string) => string;
+
   private registeredAgents: readonly RegisteredProcess[] = [];
 
   private operatorState: OperatorState | undefined;
@@ -82,6 +85,7 @@
 
   private constructor(private readonly options: DispatchEntryOptions) {
     this.server = this.createServer();
+    this.rankOf = createAgentRanking(options.name);
     this.dispatcher = Dispatcher.create({
       dataCenter: options.dataCenter,
       connections: () => this.connections.values(),
@@ -272,25 +276,28 @@
   private createServer(): CallServer {
     const findByLink = (link: Link) =>
       [...this.connections.values()].find((connection) => connection.usesLink(link));
-    return createCallServer({
-      view: (view, link) => {
-        findByLink(link)?.updateView(view);
-        return {};
-      },
-      ended: ({ runs, free }, link) => {
-        const connection = findByLink(link);
-        if (!connection) return {};
-        connection.updateFree(free);
-        this.dispatcher.handleRunEnds(connection.name, runs);
-        return {};
-      },
-      operatorState: () => ({ state: this.operatorState }),
-      rules: (rules) => {
-        this.applyRules(rules);
-        void this.catchUp(rules.revision);
-        return {};
+    return createCallServer(
+      {
+        view: (view, link) => {
+          findByLink(link)?.updateView(view);
+          return {};
+        },
+        ended: ({ runs, free }, link) => {
+          const connection = findByLink(link);
+          if (!connection) return {};
+          connection.updateFree(free);
+          this.dispatcher.handleRunEnds(connection.name, runs);
+          return {};
+        },
+        operatorState: () => ({ state: this.operatorState }),
+        rules: (rules) => {
+          this.applyRules(rules);
+          void this.catchUp(rules.revision);
+          return {};
+        },
       },
-    });
+      createLimitedWarning(this.options.log, 'message_failed'),
+    );
   }
 
   private applyRules(rules: AdmissionRules): void {
@@ -395,9 +402,9 @@
   }
 
   private chooseAgents(): void {
-    const { name, dataCenter } = this.options;
+    const { dataCenter } = this.options;
     this.updateConnections(
-      chooseAgents(this.registeredAgents, name, dataCenter, this.rules.outDataCenters),
+      chooseAgents(this.registeredAgents, this.rankOf, dataCenter, this.rules.outDataCenters),
     );
   }
 
--- a/packages/dispatch/src/chooseAgents.ts
+++ b/packages/dispatch/src/chooseAgents.ts
@@ -2,21 +2,38 @@
 import type { RegisteredProcess } from '@marjorammast/protocol';
 import { MAX_ATTACHED_AGENTS } from './constants';
 
+/**
+ * Ranks agents for one entry by a hash of both names (rendezvous hashing). The ranks are kept, since all
+ * agents are ranked again whenever one of them registers.
+ *
+ * @param entry - name of the entry
+ * @returns the rank of an agent by its name; lower ranks come first
+ */
+export const createAgentRanking = (entry: string): ((agent: string) => string) => {
+  const ranks = new Map<string, string>();
+  return (agent) => {
+    const rank = ranks.get(agent) ?? createHash('md5').update(`${entry}>${agent}`).digest('hex');
+    ranks.set(agent, rank);
+    return rank;
+  };
+};
+
+const compareText = (a: string, b: string): number => Number(a > b) - Number(a < b);
+
 /**
  * Chooses the agents that an entry connects to. Agents of the entry's data centre come before others,
- * and agents of evacuated data centres come last. Within each group agents are ordered by a hash of
- * the entry's and the agent's name (rendezvous hashing), so that the entries, each with a limited
- * number of connections, spread over all agents.
+ * and agents of evacuated data centres come last. Within each group agents are ordered by their rank, so
+ * that the entries, each with a limited number of connections, spread over all agents.
  *
  * @param agents - all agents
- * @param entry - name of the entry
+ * @param rankOf - rank of an agent for the entry
  * @param dataCenter - data centre of the entry
  * @param evacuatedDataCenters - data centres that get no tasks
  * @returns at most {@link MAX_ATTACHED_AGENTS} agents
  */
 export const chooseAgents = (
   agents: readonly RegisteredProcess[],
-  entry: string,
+  rankOf: (agent: string) => string,
   dataCenter: string,
   evacuatedDataCenters: readonly string[],
 ): RegisteredProcess[] =>
@@ -25,13 +42,13 @@
       agent,
       isEvacuated: evacuatedDataCenters.includes(agent.dataCenter),
       isRemote: agent.dataCenter !== dataCenter,
-      rank: createHash('md5').update(`${entry}>${agent.name}`).digest('hex'),
+      rank: rankOf(agent.name),
     }))
     .sort(
       (a, b) =>
         Number(a.isEvacuated) - Number(b.isEvacuated) ||
         Number(a.isRemote) - Number(b.isRemote) ||
-        a.rank.localeCompare(b.rank),
+        compareText(a.rank, b.rank),
     )
     .slice(0, MAX_ATTACHED_AGENTS)
     .map(({ agent }) => agent);
--- a/packages/dispatch/tests/chooseAgents.test.ts
+++ b/packages/dispatch/tests/chooseAgents.test.ts
@@ -1,4 +1,4 @@
-import { chooseAgents } from '../src/chooseAgents';
+import { chooseAgents, createAgentRanking } from '../src/chooseAgents';
 import { MAX_ATTACHED_AGENTS } from '../src/constants';
 
 const createAgents = (count: number, dataCenter: string) =>
@@ -12,7 +12,7 @@
   it('chooses agents of the data centre of the entry first, up to the maximum number of agents', () => {
     const chosen = chooseAgents(
       [...createAgents(50, 'east'), ...createAgents(40, 'north')],
-      'e',
+      createAgentRanking('e'),
       'north',
       [],
     );
@@ -22,7 +22,7 @@
 
   it('chooses agents of an evacuated data centre last', () => {
     const agents = [...createAgents(40, 'north'), ...createAgents(MAX_ATTACHED_AGENTS, 'east')];
-    const chosen = chooseAgents(agents, 'e', 'north', ['north']);
+    const chosen = chooseAgents(agents, createAgentRanking('e'), 'north', ['north']);
     expect(chosen.every(({ dataCenter }) => dataCenter === 'east')).toBe(true);
   });
 });
--- a/packages/entry/src/ClusterController.ts
+++ b/packages/entry/src/ClusterController.ts
@@ -26,6 +26,7 @@
 } from '@marjorammast/protocol';
 import { StoreError, swap } from '@marjorammast/store';
 import type { Snapshot, Store, StoredValue } from '@marjorammast/store';
+import { createLimitedWarning } from '@marjorammast/telemetry';
 import type { Log, Timeline } from '@marjorammast/telemetry';
 import { AgentRegistry } from './AgentRegistry';
 import { AGENT_KEYS, REBALANCE_PERIOD_MS, ENVIRONMENT_KEY, MAP_KEY } from './constants';
@@ -65,9 +66,6 @@
 /** Another member, the link to it and its latest heartbeat. */
 type Peer = { member: Member; link?: Link; lastContactAt: number; heartbeat?: PeerHeartbeat };
 
-/** Links to peers handle no incoming calls: each peer makes its calls over a link of its own. */
-const NO_HANDLERS = createCallServer({});
-
 /**
  * Serializes a value together with a nonce. Each written value is then unique, so that reading the
  * key back shows whether a write with a lost reply took effect.
@@ -115,9 +113,13 @@
 
   private stopWatch: () => void = () => undefined;
 
+  /** Handles no calls: each peer makes its calls over a link of its own. */
+  private readonly callServer: CallServer;
+
   private constructor(private readonly host: ClusterControllerHost) {
     const { store, prefix } = host;
     this.registry = AgentRegistry.create(store, `${prefix}${AGENT_KEYS}`, () => this.poll());
+    this.callServer = createCallServer({}, createLimitedWarning(host.log, 'message_failed'));
   }
 
   /**
@@ -231,7 +233,7 @@
    */
   private async connect({ member }: Peer): Promise<Link> {
     try {
-      const link = await this.host.dial(member.address, NO_HANDLERS);
+      const link = await this.host.dial(member.address, this.callServer);
       const { incarnation } = await link.call('identify', {});
       if (incarnation === member.incarnation) return link;
       link.close();
--- a/packages/entry/src/Entry.ts
+++ b/packages/entry/src/Entry.ts
@@ -22,6 +22,7 @@
   Submission,
 } from '@marjorammast/protocol';
 import type { Store } from '@marjorammast/store';
+import { createLimitedWarning } from '@marjorammast/telemetry';
 import type { Log, Metrics, Timeline } from '@marjorammast/telemetry';
 import { AgentController } from './AgentController';
 import type { ConnectedAgent } from './AgentController';
@@ -371,32 +372,35 @@
   }
 
   private createServer(): CallServer {
-    return createCallServer({
-      ...this.agents.handlers,
-      news: () => encodeHeartbeat(this.cluster.heartbeat()),
-      identify: () => ({ incarnation: this.member.incarnation }),
-      catchUp: () => ({
-        release: this.environment.release,
-        map: this.cluster.map,
-        mapRevision: this.cluster.mapRevision,
-      }),
-      submit: ({ submission, deadlineLeftMs, isFirst }) =>
-        this.submitHere(submission, deadlineLeftMs, isFirst),
-      find: ({ id }) => this.findHere(id),
-      cancelJob: ({ id }) => ({
-        found: this.jobs.cancel(id),
-        owner: this.ownerOf(shardOf(id)) === this.member.name,
-      }),
-      adopt: (params) => this.handover.receive(params),
-      credits: (params) => this.credits.give(params),
-      confirm: () => this.confirm(),
-      farewell: ({ from }) => {
-        this.cluster.markDeparted(from);
-        return {};
+    return createCallServer(
+      {
+        ...this.agents.handlers,
+        news: () => encodeHeartbeat(this.cluster.heartbeat()),
+        identify: () => ({ incarnation: this.member.incarnation }),
+        catchUp: () => ({
+          release: this.environment.release,
+          map: this.cluster.map,
+          mapRevision: this.cluster.mapRevision,
+        }),
+        submit: ({ submission, deadlineLeftMs, isFirst }) =>
+          this.submitHere(submission, deadlineLeftMs, isFirst),
+        find: ({ id }) => this.findHere(id),
+        cancelJob: ({ id }) => ({
+          found: this.jobs.cancel(id),
+          owner: this.ownerOf(shardOf(id)) === this.member.name,
+        }),
+        adopt: (params) => this.handover.receive(params),
+        credits: (params) => this.credits.give(params),
+        confirm: () => this.confirm(),
+        farewell: ({ from }) => {
+          this.cluster.markDeparted(from);
+          return {};
+        },
+        events: ({ sinceMs, job }) => ({ events: this.options.timeline.select(sinceMs, job) }),
+        status: () => this.status(),
       },
-      events: ({ sinceMs, job }) => ({ events: this.options.timeline.select(sinceMs, job) }),
-      status: () => this.status(),
-    });
+      createLimitedWarning(this.options.log, 'message_failed'),
+    );
   }
 
   private createDispatcher(): Dispatcher {
--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -8,6 +8,7 @@
   RunEnd,
   WorkerView,
 } from '@marjorammast/protocol';
+import { createLimitedWarning } from '@marjorammast/telemetry';
 import type { Log } from '@marjorammast/telemetry';
 import { admit } from './admit';
 import type { AdmissionState } from './admit';
@@ -208,22 +209,25 @@
   }
 
   private createServer(): CallServer {
-    return createCallServer({
-      attach: ({ entry, rules }, link) => this.attach(entry, rules, link),
-      assign: (assignment, link) => this.assign(assignment, link),
-      abandon: ({ jobs }) => {
-        this.stopRuns((run) => jobs.includes(run.task.job));
-        return {};
-      },
-      renew: (_, link) => {
-        this.connections.recordContact(link);
-        return { clock: this.options.clock() };
-      },
-      rules: (rules) => {
-        this.applyRules(rules);
-        return {};
+    return createCallServer(
+      {
+        attach: ({ entry, rules }, link) => this.attach(entry, rules, link),
+        assign: (assignment, link) => this.assign(assignment, link),
+        abandon: ({ jobs }) => {
+          this.stopRuns((run) => jobs.includes(run.task.job));
+          return {};
+        },
+        renew: (_, link) => {
+          this.connections.recordContact(link);
+          return { clock: this.options.clock() };
+        },
+        rules: (rules) => {
+          this.applyRules(rules);
+          return {};
+        },
       },
-    });
+      createLimitedWarning(this.options.log, 'message_failed'),
+    );
   }
 
   private attach(entry: string, rules: AdmissionRules, link: Link): Result<'attach'> {
--- a/packages/gate/tests/GateAgent.test.ts
+++ b/packages/gate/tests/GateAgent.test.ts
@@ -40,12 +40,15 @@
 /** Attaches an entry to the agent over an in-memory link and collects the views that it receives. */
 const attach = async (agent: GateAgent, entry: string) => {
   const views: Params<'view'>[] = [];
-  const server = createCallServer({
-    view: (view) => {
-      views.push(view);
-      return {};
+  const server = createCallServer(
+    {
+      view: (view) => {
+        views.push(view);
+        return {};
+      },
     },
-  });
+    jest.fn(),
+  );
   const links: { entryLink?: Link; agentLink?: Link } = {};
   const entryLink = Link.create(
     'agent',
--- a/packages/protocol/src/Link.ts
+++ b/packages/protocol/src/Link.ts
@@ -46,23 +46,50 @@
   [M in Method]?: (params: Params<M>, link: Link) => Promise<Result<M>> | Result<M>;
 };
 
+/** A message of another process that could not be handled. */
+export type LinkFault = {
+  /** Name of the link on which it arrived. */
+  peer: string;
+  /** Method of the call; `undefined` for a message that is not a call. */
+  method?: string;
+  reason: string;
+};
+
 /** Handles the calls that arrive on any number of links. */
-export type CallServer = JSONRPCServer<Link>;
+export type CallServer = {
+  rpc: JSONRPCServer<Link>;
+  onFault: (fault: LinkFault) => void;
+};
+
+const reasonOf = (error: unknown): string =>
+  error instanceof Error ? error.message : String(error);
 
 /**
  * Creates a call server, which all links of a process share.
  *
  * @param handlers - one handler for each method
+ * @param onFault - called for each message that could not be handled
  * @returns the server
  */
-export const createCallServer = (handlers: Handlers): CallServer => {
-  const server = new JSONRPCServer<Link>({ errorListener: () => undefined });
+export const createCallServer = (
+  handlers: Handlers,
+  onFault: (fault: LinkFault) => void,
+): CallServer => {
+  // The library reports errors without the link, so they are reported where the link is known.
+  const rpc = new JSONRPCServer<Link>({ errorListener: () => undefined });
   (Object.keys(handlers) as Method[]).forEach((method) => {
     const handler = handlers[method] as (params: unknown, link: Link) => unknown;
     const { params: schema } = callSchemas[method];
-    server.addMethod(method, async (params, link) => handler(schema.parse(params), link));
+    rpc.addMethod(method, async (params, link) => {
+      try {
+        return await handler(schema.parse(params), link);
+      } catch (error) {
+        onFault({ peer: link.name, method, reason: reasonOf(error) });
+        throw error;
+      }
+    });
   });
-  return server;
+  return { rpc, onFault };
 };
 
 /** Bidirectional remote calls with one other process over one ordered transport. */
@@ -76,12 +103,12 @@
   private constructor(
     readonly name: string,
     private readonly transport: Transport,
-    server: CallServer,
+    private readonly server: CallServer,
   ) {
     this.rpc = new JSONRPCServerAndClient(
-      server,
+      server.rpc,
       new JSONRPCClient((message) => transport.write(message)),
-      { errorListener: () => undefined },
+      { errorListener: (message) => this.reportFault(message) },
     );
   }
 
@@ -147,7 +174,11 @@
    * @param message - the decoded message
    */
   receive(message: unknown): void {
-    if (this.open) void this.rpc.receiveAndSend(message as never, this).catch(() => undefined);
+    if (!this.open) return;
+    this.rpc.receiveAndSend(message as never, this).catch((error) => {
+      // The answer to a call cannot be sent once the link has closed.
+      if (this.open) this.reportFault(error);
+    });
   }
 
   /**
@@ -168,9 +199,18 @@
     this.closeListeners.forEach((listener) => listener());
   }
 
+  /**
+   * Reports a message that could not be handled.
+   *
+   * @param error - why
+   */
+  reportFault(error: unknown): void {
+    this.server.onFault({ peer: this.name, reason: reasonOf(error) });
+  }
+
   private toCallError(error: unknown): CallError {
     if (error instanceof CallError) return error;
-    const message = error instanceof Error ? error.message : String(error);
+    const message = reasonOf(error);
     return CallError.create(this.open ? 'remote' : 'lost', message);
   }
 }
--- a/packages/protocol/src/registration.ts
+++ b/packages/protocol/src/registration.ts
@@ -38,20 +38,32 @@
   }
 };
 
+/** A stored item, of which the revision rises with each change. */
+type RegistrationItem = { key: string; value: string; revision: number };
+
 /**
- * Decodes the registrations of one role among items of the store. Invalid values are skipped.
+ * Creates a decoder of registrations. It decodes each value once: all items are passed again whenever one
+ * of them changes, and at the start of a deployment each process adds one.
  *
- * @param role - role of the processes
- * @param items - keys and values from the store
- * @returns the registered processes
+ * @param onInvalid - called once with the key of each invalid value, which is skipped
+ * @returns decodes the registered processes of one role among items of the store
  */
-export const decodeRegistrations = (
-  role: ProcessRole,
-  items: Iterable<{ key: string; value: string }>,
-): RegisteredProcess[] => {
-  const prefix = registrationKey(role, '');
-  return [...items].flatMap(({ key, value }) => {
-    const registration = key.startsWith(prefix) ? decodeRegistration(value) : undefined;
-    return registration ? [{ name: key.slice(prefix.length), ...registration }] : [];
-  });
+export const createRegistrationDecoder = (onInvalid: (key: string) => void) => {
+  const decoded = new Map<string, { revision: number; registered?: RegisteredProcess }>();
+  const decode = (prefix: string, { key, value, revision }: RegistrationItem) => {
+    const known = decoded.get(key);
+    if (known?.revision === revision) return known.registered;
+    const registration = decodeRegistration(value);
+    const registered = registration && { name: key.slice(prefix.length), ...registration };
+    if (!registered) onInvalid(key);
+    decoded.set(key, { revision, registered });
+    return registered;
+  };
+  return (role: ProcessRole, items: Iterable<RegistrationItem>): RegisteredProcess[] => {
+    const prefix = registrationKey(role, '');
+    return [...items].flatMap((item) => {
+      const registered = item.key.startsWith(prefix) ? decode(prefix, item) : undefined;
+      return registered ? [registered] : [];
+    });
+  };
 };
--- a/packages/protocol/src/tcp.ts
+++ b/packages/protocol/src/tcp.ts
@@ -59,7 +59,11 @@
   });
   const lines = socket.pipe(split2(JSON.parse, { maxLength: MAX_MESSAGE_BYTES }));
   lines.on('data', (message) => link.receive(message));
-  lines.on('error', () => link.close());
+  lines.on('error', (error) => {
+    link.reportFault(error);
+    link.close();
+  });
+  // What is lost with the connection is reported by the calls on the link.
   socket.on('error', () => link.close());
   socket.on('close', () => link.close());
   return link;
