Placement leaves one fitting task of a worker to other entries while there is room elsewhere

Ruled out: that the workers were full.

Change: a first round of placement leaves one fitting task of each worker, a second uses the rest.

Shown: WorkerRooms.test.ts.

--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -8,6 +8,7 @@
   DECLINE_PAUSE_MS,
   MAX_DISPATCH_PASS_INTERVAL_MS,
   MAX_LATENESS_FACTOR,
+  RESERVED_TASKS,
   RUN_EXPIRY_MS,
 } from './constants';
 import { findRefusal } from './findRefusal';
@@ -205,16 +206,18 @@
     const { bestSlowness } = rooms;
     const slackMs = objectiveAt - performance.now();
     const goal = { estimateMs: step.estimateMs, slackMs, bestSlowness };
-    this.groupWaitingTasks(job).forEach(({ indexes, avoidedAgents }) => {
-      const candidates = rooms.findCandidates(step, avoidedAgents);
-      if (candidates.length === 0) return;
-      const count = indexes.length;
-      let assignedCount = 0;
-      placeTasks(candidates, { ...goal, count }, this.host.random).forEach((placement) => {
-        const end = assignedCount + placement.count;
-        this.assign(job, placement, indexes.slice(assignedCount, end), bestSlowness);
-        rooms.refresh(placement.agent);
-        assignedCount = end;
+    [RESERVED_TASKS, 0].forEach((reservedTasks) => {
+      this.groupWaitingTasks(job).forEach(({ indexes, avoidedAgents }) => {
+        const candidates = rooms.findCandidates(step, avoidedAgents, reservedTasks);
+        if (candidates.length === 0) return;
+        const count = indexes.length;
+        let assignedCount = 0;
+        placeTasks(candidates, { ...goal, count }, this.host.random).forEach((placement) => {
+          const end = assignedCount + placement.count;
+          this.assign(job, placement, indexes.slice(assignedCount, end), bestSlowness);
+          rooms.refresh(placement.agent);
+          assignedCount = end;
+        });
       });
     });
     const waitingTasks = job.waitingTasks.length;
--- a/packages/dispatch/src/WorkerRooms.ts
+++ b/packages/dispatch/src/WorkerRooms.ts
@@ -73,15 +73,22 @@
    *
    * @param step - the step
    * @param avoidedAgents - agents that are used only when there are no others
+   * @param reservedTasks - number of fitting tasks that are left to other entries
    * @returns one candidate for each worker with room for a task
    */
-  findCandidates(step: Step, avoidedAgents: ReadonlySet<string>): Candidate[] {
+  findCandidates(
+    step: Step,
+    avoidedAgents: ReadonlySet<string>,
+    reservedTasks: number,
+  ): Candidate[] {
     const usable = this.rooms.filter(
       ({ free, view }) =>
         fits(step.needs, free) && (!step.label || view.labels.includes(step.label)),
     );
     const preferred = usable.filter(({ connection }) => !avoidedAgents.has(connection.name));
-    return (preferred.length > 0 ? preferred : usable).map((room) => this.toCandidate(room, step));
+    return (preferred.length > 0 ? preferred : usable).map((room) =>
+      this.toCandidate(room, step, reservedTasks),
+    );
   }
 
   /**
@@ -94,14 +101,18 @@
     if (room) room.free = room.connection.free;
   }
 
-  private toCandidate({ connection, view, free, isLocal }: Room, step: Step): Candidate {
+  private toCandidate(
+    { connection, view, free, isLocal }: Room,
+    step: Step,
+    reservedTasks: number,
+  ): Candidate {
     const limit = step.maxPerWorker > 0 ? step.maxPerWorker : Infinity;
-    const trialLimit = view.state === 'trial' ? 1 : Infinity;
+    const unreservedTasks = Math.max(0, countFitting(step.needs, free) - reservedTasks);
     return {
       agent: connection.name,
       isLocal,
       isNearData: !step.nearRack || view.labels.includes(step.nearRack),
-      fittingTasks: Math.min(countFitting(step.needs, free), limit, trialLimit),
+      fittingTasks: view.state === 'trial' ? 1 : Math.min(unreservedTasks, limit),
       slowness: view.slowness,
     };
   }
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -35,6 +35,12 @@
 /** Window over which the rate at which queued work is placed is averaged, in milliseconds. */
 export const QUEUE_ESTIMATE_WINDOW_MS = 1_000;
 
+/**
+ * Number of fitting tasks that placement leaves to other entries, which place tasks on the same workers
+ * unseen, as long as there is room elsewhere.
+ */
+export const RESERVED_TASKS = 1;
+
 /** A worker whose slowness is within this factor of the fast workers' counts as equally fast. */
 export const EQUAL_SLOWNESS_FACTOR = 1.35;
 
--- /dev/null
+++ b/packages/dispatch/tests/WorkerRooms.test.ts
@@ -0,0 +1,80 @@
+import type { WorkerView } from '@marjorammast/protocol';
+import type { AgentConnection } from '../src/AgentConnection';
+import { RESERVED_TASKS } from '../src/constants';
+import { placeTasks } from '../src/placeTasks';
+import { WorkerRooms } from '../src/WorkerRooms';
+
+const NEEDS = { cpu: 2_500, memoryMb: 64, accelerators: 0 };
+
+const step = (count: number) => ({
+  count,
+  needs: NEEDS,
+  estimateMs: 86,
+  after: [],
+  maxPerWorker: 0,
+  traits: [],
+});
+
+const createConnection = (
+  name: string,
+  fittingTasks: number,
+  fields: Partial<WorkerView> = {},
+): AgentConnection => {
+  const free = { cpu: fittingTasks * NEEDS.cpu, memoryMb: 32_000, accelerators: 0 };
+  const view = { service: 'desk', labels: [], free, state: 'open', slowness: 1, ...fields };
+  const agent = { name, address: '', dataCenter: 'north' };
+  return { name, agent, view, free, pausedUntil: 0 } as unknown as AgentConnection;
+};
+
+const filter = { dataCenter: 'north', evacuatedDataCenters: [], now: 0 };
+
+const roomsOf = (connections: readonly AgentConnection[]) =>
+  WorkerRooms.create(connections, 'desk', filter);
+
+describe('WorkerRooms', () => {
+  it('leaves out workers of other services, closed, paused, evacuated and full ones', () => {
+    const paused = createConnection('paused', 4);
+    paused.pausedUntil = 10;
+    const rooms = WorkerRooms.create(
+      [
+        createConnection('open', 4),
+        createConnection('other', 4, { service: 'other' }),
+        createConnection('closed', 4, { state: 'closed' }),
+        createConnection('full', 0),
+        paused,
+      ],
+      'desk',
+      filter,
+    );
+    const names = rooms.findCandidates(step(1), new Set(), 0).map(({ agent }) => agent);
+    expect(names).toEqual(['open']);
+    const evacuated = { ...filter, evacuatedDataCenters: ['north'] };
+    const others = WorkerRooms.create([createConnection('open', 4)], 'desk', evacuated);
+    expect(others.findCandidates(step(1), new Set(), 0)).toEqual([]);
+  });
+
+  it('offers a worker on trial one task, whatever is reserved', () => {
+    const rooms = roomsOf([createConnection('trial', 6, { state: 'trial' })]);
+    expect(rooms.findCandidates(step(4), new Set(), RESERVED_TASKS)).toMatchObject([
+      { fittingTasks: 1 },
+    ]);
+  });
+
+  // The load: wide jobs of several entries at the same time, on workers of which each has room for a few
+  // tasks. An entry that fills what it sees is declined wherever another one was a moment earlier.
+  it('has fewer tasks declined at workers that other entries use unseen', () => {
+    const countDeclined = (reservedTasks: number): number => {
+      const actual = new Map(Array.from({ length: 20 }, (_, index) => [`w-${index}`, 4]));
+      const seen = [...actual].map(([name, tasks]) => createConnection(name, tasks));
+      actual.forEach((tasks, name) => actual.set(name, tasks - (Number(name.slice(2)) % 2)));
+      const candidates = roomsOf(seen).findCandidates(step(8), new Set(), reservedTasks);
+      const goal = { count: 8, estimateMs: 86, slackMs: 200, bestSlowness: 1 };
+      return placeTasks(candidates, goal, () => 0.5).reduce(
+        (declined, { agent, count }) => declined + Math.max(0, count - (actual.get(agent) ?? 0)),
+        0,
+      );
+    };
+    expect(countDeclined(0)).toBeGreaterThan(0);
+    expect(countDeclined(RESERVED_TASKS)).toBe(0);
+  });
+});
