--- a/packages/dispatch/src/AgentConnection.ts
+++ b/packages/dispatch/src/AgentConnection.ts
@@ -80,11 +80,17 @@
   /**
    * @param agent - the agent as registered in the store
    * @param host - what the connection needs from its entry
+   * @param delayMs - time until it is opened, in milliseconds
    * @returns a connection that is being opened
    */
-  static create(agent: RegisteredProcess, host: AgentConnectionHost): AgentConnection {
+  static create(
+    agent: RegisteredProcess,
+    host: AgentConnectionHost,
+    delayMs: number,
+  ): AgentConnection {
     const connection = new AgentConnection(agent, host);
-    void connection.open();
+    if (delayMs > 0) connection.openAfter(delayMs);
+    else void connection.open();
     return connection;
   }
 
@@ -298,7 +304,10 @@
       RECONNECT_BACKOFF_MS * 2 ** this.failedAttempts,
     );
     this.failedAttempts = Math.min(this.failedAttempts + 1, 10);
-    const delayMs = backoffMs * (0.5 + this.host.random() / 2);
+    this.openAfter(backoffMs * (0.5 + this.host.random() / 2));
+  }
+
+  private openAfter(delayMs: number): void {
     this.reconnectTimer = setTimeout(() => void this.open(), delayMs);
   }
 
--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -11,7 +11,13 @@
 import type { Log } from '@marjorammast/telemetry';
 import { ActiveJob } from './ActiveJob';
 import { AgentConnection } from './AgentConnection';
-import { DEADLINE_MARGIN_MS, MIN_RETRY_AFTER_MS } from './constants';
+import type { AgentConnectionHost } from './AgentConnection';
+import {
+  DEADLINE_MARGIN_MS,
+  DIALS_AT_ONCE,
+  DIAL_INTERVAL_MS,
+  MIN_RETRY_AFTER_MS,
+} from './constants';
 import { chooseAgents, createAgentRanking } from './chooseAgents';
 import { Dispatcher } from './Dispatcher';
 import { findRoute } from './findRoute';
@@ -416,15 +422,23 @@
       connection.close();
       this.connections.delete(name);
     });
-    chosen.forEach((agent) => this.connectTo(agent));
+    chosen
+      .filter(({ name, address }) => this.connections.get(name)?.agent.address !== address)
+      .forEach((agent, index) => this.connectTo(agent, index));
   }
 
-  private connectTo(agent: RegisteredProcess): void {
-    const existing = this.connections.get(agent.name);
-    if (existing?.agent.address === agent.address) return;
-    existing?.close();
+  /**
+   * Connects to an agent. After a start the entry first connects to some agents, so that it serves its
+   * first jobs before it has connected to all.
+   *
+   * @param agent - the agent
+   * @param index - number of agents to which the entry connects before it
+   */
+  private connectTo(agent: RegisteredProcess, index: number): void {
+    this.connections.get(agent.name)?.close();
     const { name, dial, random, log } = this.options;
-    const connection = AgentConnection.create(agent, {
+    const delayMs = Math.max(0, index + 1 - DIALS_AT_ONCE) * DIAL_INTERVAL_MS;
+    const host: AgentConnectionHost = {
       entry: name,
       dial: (address) => dial(address, this.server),
       rules: () => this.rules,
@@ -437,7 +451,7 @@
       },
       random,
       log,
-    });
-    this.connections.set(agent.name, connection);
+    };
+    this.connections.set(agent.name, AgentConnection.create(agent, host, delayMs));
   }
 }
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -26,6 +26,12 @@
 /** Longest delay before an attempt to reconnect, before jitter, in milliseconds. */
 export const MAX_RECONNECT_BACKOFF_MS = 2_000;
 
+/** Number of new connections that an entry opens at once; the others follow one by one. */
+export const DIALS_AT_ONCE = 16;
+
+/** Time between two of the connections that follow, in milliseconds. */
+export const DIAL_INTERVAL_MS = 15;
+
 /** Largest number of agents that an entry chooses to connect to. */
 export const MAX_ATTACHED_AGENTS = 64;
 
--- a/packages/dispatch/tests/AgentConnection.test.ts
+++ b/packages/dispatch/tests/AgentConnection.test.ts
@@ -48,6 +48,7 @@
         random: () => 0,
         log: createLog('connection', 'silent'),
       },
+      0,
     );
     deliverView = () => {
       if (connection.usesLink(link)) connection.updateView(createView('open'));
@@ -93,6 +94,7 @@
         random: () => 0,
         log: createLog('connection', 'silent'),
       },
+      0,
     );
     const countRenewals = () => calls.filter((method) => method === 'renew').length;
     const assign = () =>
