A daemon goes on after an unexpected error, and ends when it cannot start

Cause: the runtime ends a process on any rejection or error that nobody handles; the broken heartbeat was one way to get there, and any mistake in a timer would be another.

--- a/marjorammast-app/src/dispatchEntry.ts
+++ b/marjorammast-app/src/dispatchEntry.ts
@@ -10,6 +10,7 @@
 import { StoreMirror, registerProcess } from '@marjorammast/store';
 import { createPrometheusMetrics } from '@marjorammast/telemetry';
 import { createDaemonLog } from './createDaemonLog';
+import { guardProcess, runDaemon } from './guardProcess';
 import { serveHttp } from './serveHttp';
 import { serveMetrics } from './serveMetrics';
 import { loadSettings, stopOnSignal } from './settings';
@@ -25,6 +26,7 @@
   const settings = loadSettings('dispatchEntry', dispatchSettingsSchema);
   const { name, dataCenter, rpc, clients, readiness, store, logLevel, stopTimeoutMs } = settings;
   const log = createDaemonLog(name, logLevel);
+  guardProcess(log, process);
   const metrics = createPrometheusMetrics();
   const answerTimes = metrics.histogram('marjorammast_job_ms', 'Time to answer a job', [
     'route',
@@ -78,4 +80,4 @@
   });
 };
 
-void run();
+runDaemon(run);
--- a/marjorammast-app/src/gateAgent.ts
+++ b/marjorammast-app/src/gateAgent.ts
@@ -5,6 +5,7 @@
 import { registerProcess } from '@marjorammast/store';
 import { createPrometheusMetrics } from '@marjorammast/telemetry';
 import { createDaemonLog } from './createDaemonLog';
+import { guardProcess, runDaemon } from './guardProcess';
 import { serveMetrics } from './serveMetrics';
 import { loadSettings, parseAddress, stopOnSignal } from './settings';
 
@@ -13,6 +14,7 @@
   const settings = loadSettings('gateAgent', gateSettingsSchema);
   const { name, dataCenter, rpc, worker, workerReports, logLevel, stopTimeoutMs } = settings;
   const log = createDaemonLog(name, logLevel);
+  guardProcess(log, process);
   const metrics = createPrometheusMetrics();
   const runTimes = metrics.histogram('marjorammast_run_ms', 'Time of a run', ['how']);
   const assignments = metrics.counter('marjorammast_assigned', 'Runs by answer', ['answer']);
@@ -48,4 +50,4 @@
   });
 };
 
-void run();
+runDaemon(run);
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -158,6 +158,7 @@
   private runPass(): void {
     clearTimeout(this.passTimer);
     if (this.queue.size === 0) return;
+    this.passTimer = setTimeout(() => this.schedulePass(), MAX_DISPATCH_PASS_INTERVAL_MS);
     const now = performance.now();
     const roomsByService = new Map<string, WorkerRooms>();
     const roomsOf = (service: string): WorkerRooms => {
@@ -178,9 +179,7 @@
     loads.forEach(({ placedWork, waitingWork }, estimate) => {
       estimate.record(placedWork, waitingWork > 0, now);
     });
-    if (this.queue.size > 0) {
-      this.passTimer = setTimeout(() => this.schedulePass(), MAX_DISPATCH_PASS_INTERVAL_MS);
-    }
+    if (this.queue.size === 0) clearTimeout(this.passTimer);
   }
 
   private findRooms(service: string, now: number): WorkerRooms {
