--- a/packages/gate/src/EntryConnections.ts
+++ b/packages/gate/src/EntryConnections.ts
@@ -9,7 +9,7 @@
 import type { Log } from '@marjorammast/telemetry';
 import { ACTIVE_ENTRY_MS, ENTRY_TIMEOUT_MS } from './constants';
 import { viewDelay } from './viewDelay';
-import type { Run } from './WorkerSession';
+import type { Run } from './run';
 
 /** What the connections need from their agent. */
 export type EntryConnectionsHost = {
--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -17,7 +17,8 @@
 import { SlownessEstimate, findSlowRuns } from './SlownessEstimate';
 import { WorkerHealth } from './WorkerHealth';
 import { WorkerSession } from './WorkerSession';
-import type { SessionHandover, Run } from './WorkerSession';
+import type { Run } from './run';
+import type { SessionHandover } from './WorkerSession';
 import type { WorkerClient, WorkerIdentity, WorkerReport } from './WorkerClient';
 
 /** Metrics that an agent reports. */
--- a/packages/gate/src/SlownessEstimate.ts
+++ b/packages/gate/src/SlownessEstimate.ts
@@ -1,5 +1,5 @@
 import { SLOWNESS_WEIGHT } from './constants';
-import type { Run } from './WorkerSession';
+import type { Run } from './run';
 
 /** Age from which the progress of a run is taken into account, in milliseconds. */
 const MIN_RUN_AGE_MS = 100;
--- a/packages/gate/src/WorkerSession.ts
+++ b/packages/gate/src/WorkerSession.ts
@@ -13,9 +13,10 @@
   UNANSWERED_COMMAND_LIMIT,
   RENEW_PERIOD_MS,
   RETRY_PAUSE_MS,
-  MIN_STALL_TIMEOUT_MS,
 } from './constants';
 import { EndedRuns } from './EndedRuns';
+import { findStalledRuns } from './findStalledRuns';
+import type { Run } from './run';
 import { WorkerLease } from './WorkerLease';
 import type {
   HoldResult,
@@ -27,30 +28,6 @@
   WorkerReport,
 } from './WorkerClient';
 
-/** One run of a task on the worker, from the moment its resources are reserved. */
-export type Run = {
-  task: TaskId;
-  /** Number of the run; a later run of the same task has a higher number. */
-  run: number;
-  /** Identifies the entry connection that assigned the run. */
-  ownerId: string;
-  needs: Resources;
-  /** The client's estimate of the run time, in milliseconds. */
-  estimateMs: number;
-  /** Slowness of fast workers when the run was admitted; see {@link SlownessEstimate}. */
-  bestSlowness: number;
-  /** Monotonic time, in milliseconds. */
-  admittedAt: number;
-  state: 'starting' | 'running' | 'stopping';
-  /** End to report when the worker lists the run as stopped. */
-  endIfStopped: 'stopped' | 'stalled';
-  percent: number;
-  /** Monotonic time at which `percent` last rose, in milliseconds. */
-  lastProgressAt: number;
-  /** True once the worker has listed the run as running. */
-  wasListed: boolean;
-};
-
 /** State that is passed from the session of one worker incarnation to the next session. */
 export type SessionHandover = {
   /** Highest fencing token that the worker may have received. */
@@ -500,7 +477,7 @@
   private stopStalledRuns(): void {
     const now = performance.now();
     const running = this.select((run) => run.state === 'running');
-    const stalled = running.filter((run) => now - run.lastProgressAt > this.stallTimeoutOf(run));
+    const stalled = findStalledRuns(running, now);
     stalled.forEach((run) => this.host.onUnhealthy(run));
     new Set([...stalled, ...this.host.findRunsToMove(running)]).forEach((run) => {
       const { percent, estimateMs, admittedAt } = run;
@@ -513,14 +490,6 @@
     });
   }
 
-  /**
-   * Time without progress after which a run counts as stalled, in milliseconds. A run that keeps to
-   * its estimate advances by several percent in this time.
-   */
-  private stallTimeoutOf({ estimateMs }: Run): number {
-    return Math.max(MIN_STALL_TIMEOUT_MS, estimateMs / 5);
-  }
-
   /** Reports all runs as lapsed when their lease has expired while the worker did not answer. */
   private expireRunsIfUnresponsive(): void {
     if (this.unansweredCommands < UNANSWERED_COMMAND_LIMIT || this.runs.size === 0) return;
--- /dev/null
+++ b/packages/gate/src/run.ts
@@ -0,0 +1,25 @@
+import type { Resources, TaskId } from '@marjorammast/protocol';
+
+/** One run of a task on the worker, from the moment its resources are reserved. */
+export type Run = {
+  task: TaskId;
+  /** Number of the run; a later run of the same task has a higher number. */
+  run: number;
+  /** Identifies the entry connection that assigned the run. */
+  ownerId: string;
+  needs: Resources;
+  /** The client's estimate of the run time, in milliseconds. */
+  estimateMs: number;
+  /** Slowness of fast workers when the run was admitted; see {@link SlownessEstimate}. */
+  bestSlowness: number;
+  /** Monotonic time, in milliseconds. */
+  admittedAt: number;
+  state: 'starting' | 'running' | 'stopping';
+  /** End to report when the worker lists the run as stopped. */
+  endIfStopped: 'stopped' | 'stalled';
+  percent: number;
+  /** Monotonic time at which `percent` last rose, in milliseconds. */
+  lastProgressAt: number;
+  /** True once the worker has listed the run as running. */
+  wasListed: boolean;
+};
--- a/packages/gate/tests/SlownessEstimate.test.ts
+++ b/packages/gate/tests/SlownessEstimate.test.ts
@@ -1,5 +1,5 @@
 import { SlownessEstimate, findSlowRuns } from '../src/SlownessEstimate';
-import type { Run } from '../src/WorkerSession';
+import type { Run } from '../src/run';
 
 const run = (job: string, estimateMs: number, percent: number): Run => ({
   task: { job, occurrence: 0, step: 0, index: 0 },
--- a/packages/gate/tests/WorkerSession.test.ts
+++ b/packages/gate/tests/WorkerSession.test.ts
@@ -1,7 +1,8 @@
 import { createLog } from '@marjorammast/telemetry';
 import type { RunEnd } from '@marjorammast/protocol';
 import { WorkerSession } from '../src/WorkerSession';
-import type { SessionHandover, Run, WorkerSessionHost } from '../src/WorkerSession';
+import type { Run } from '../src/run';
+import type { SessionHandover, WorkerSessionHost } from '../src/WorkerSession';
 import type {
   HoldResult,
   HoldCommand,
