--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -13,6 +13,8 @@
 } from './constants';
 import { findRefusal } from './findRefusal';
 import type { Refusal } from './findRefusal';
+import { OutstandingRuns } from './OutstandingRuns';
+import type { OutstandingRun } from './OutstandingRuns';
 import { placeTasks } from './placeTasks';
 import type { Placement } from './placeTasks';
 import { QueueEstimate, workOf } from './QueueEstimate';
@@ -31,9 +33,6 @@
   log: Log;
 };
 
-/** A run that was assigned to an agent and has not ended. */
-type OutstandingRun = { job: ActiveJob; index: number; run: number };
-
 /** Work of one queue in a pass, in thousandths of a core times milliseconds. */
 type PassLoad = { placedWork: number; waitingWork: number };
 
@@ -42,8 +41,7 @@
   /** Jobs with waiting tasks. */
   private readonly queue = new Set<ActiveJob>();
 
-  /** Runs that have not ended, by agent, then by job and task index. */
-  private readonly runsByAgent = new Map<string, Map<string, OutstandingRun>>();
+  private readonly runs = OutstandingRuns.create();
 
   /** How long queued work waits, by service and lateness. */
   private readonly estimates = new Map<string, QueueEstimate>();
@@ -69,7 +67,7 @@
 
   /** Number of runs that have not ended. */
   get outstandingRuns(): number {
-    return [...this.runsByAgent.values()].reduce((sum, runs) => sum + runs.size, 0);
+    return this.runs.count;
   }
 
   /**
@@ -77,7 +75,7 @@
    * @returns true while runs that were assigned to the agent have not ended
    */
   hasRuns(agent: string): boolean {
-    return (this.runsByAgent.get(agent)?.size ?? 0) > 0;
+    return this.runs.has(agent);
   }
 
   /**
@@ -100,7 +98,9 @@
     job.agents.forEach((agent) => {
       this.host.findConnection(agent)?.abandon([job.id]);
       job.tasks.forEach(({ state }, index) => {
-        if (state.type === 'assigned' && state.agent === agent) this.untrackRun(agent, job, index);
+        if (state.type === 'assigned' && state.agent === agent) {
+          this.runs.remove(agent, job.id, index);
+        }
       });
     });
   }
@@ -125,9 +125,9 @@
    */
   handleRunEnds(agent: string, ends: Params<'ended'>['runs']): void {
     ends.forEach(([jobId, taskIndex, run, end]) => {
-      const outstanding = this.runsByAgent.get(agent)?.get(`${jobId}#${taskIndex}`);
+      const outstanding = this.runs.find(agent, jobId, taskIndex);
       if (outstanding?.run !== run) return;
-      this.untrackRun(agent, outstanding.job, taskIndex);
+      this.runs.remove(agent, jobId, taskIndex);
       if (outstanding.job.isOpen && outstanding.job.isAssigned(taskIndex, agent, run)) {
         this.applyEnd(outstanding.job, taskIndex, agent, end);
       }
@@ -142,8 +142,7 @@
    * @param agent - name of the agent
    */
   handleAgentLoss(agent: string): void {
-    const runs = [...(this.runsByAgent.get(agent)?.values() ?? [])];
-    this.runsByAgent.delete(agent);
+    const runs = this.runs.removeAll(agent);
     if (runs.length === 0) return;
     this.host.log.warn({ agent, runs: runs.length, lapseMs: RUN_EXPIRY_MS }, 'runs_lapsing');
     setTimeout(() => runs.forEach((run) => this.expireRun(agent, run)), RUN_EXPIRY_MS);
@@ -174,7 +173,10 @@
       const load = loads.get(estimate) ?? { placedWork: 0, waitingWork: 0 };
       loads.set(estimate, load);
       this.placeJob(job, roomsOf(service), load);
-      this.refuseIfHopeless(job, roomsOf(service), estimate.waitMsFor(load.waitingWork));
+      const waitingWork = workOf(job.step, job.waitingTasks.length);
+      const estimatedWaitMs = estimate.waitMsFor(load.waitingWork + waitingWork);
+      this.refuseIfHopeless(job, roomsOf(service), estimatedWaitMs);
+      if (job.isOpen) load.waitingWork += waitingWork;
     });
     loads.forEach(({ placedWork, waitingWork }, estimate) => {
       estimate.record(placedWork, waitingWork > 0, now);
@@ -221,7 +223,6 @@
     });
     const waitingTasks = job.waitingTasks.length;
     load.placedWork += workOf(step, waitingBefore - waitingTasks);
-    load.waitingWork += workOf(step, waitingTasks);
     if (waitingTasks === 0) this.queue.delete(job);
   }
 
@@ -297,7 +298,7 @@
     const connection = this.host.findConnection(agent);
     if (!connection) return;
     const runs = indexes.map((index): [number, number] => [index, job.assign(index, agent)]);
-    runs.forEach(([index, run]) => this.trackRun(agent, { job, index, run }));
+    runs.forEach(([index, run]) => this.runs.add(agent, { job, index, run }));
     void this.sendAssignment(job, connection, runs, bestSlowness);
   }
 
@@ -361,7 +362,7 @@
 
   /** Queues the task of a run again when that run has certainly not started. */
   private requeue(job: ActiveJob, index: number, agent: string, run: number): void {
-    this.untrackRun(agent, job, index);
+    this.runs.remove(agent, job.id, index);
     if (!job.isOpen || !job.isAssigned(index, agent, run)) return;
     job.requeue(index);
     this.add(job);
@@ -402,15 +403,4 @@
     job.requeue(index);
     this.add(job);
   }
-
-  private trackRun(agent: string, run: OutstandingRun): void {
-    const runs = this.runsByAgent.get(agent) ?? new Map<string, OutstandingRun>();
-    runs.set(`${run.job.id}#${run.index}`, run);
-    this.runsByAgent.set(agent, runs);
-  }
-
-  private untrackRun(agent: string, job: ActiveJob, index: number): void {
-    const runs = this.runsByAgent.get(agent);
-    runs?.delete(`${job.id}#${index}`);
-  }
 }
