An estimate of the wait is bounded when nothing was placed lately, and so is Retry-After

Change: the estimate counts one more job as placed than was seen, so that a time in which nothing was placed is taken to go on for about as long; a client is told 5 s at most before jitter.

--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -174,7 +174,7 @@
       loads.set(estimate, load);
       this.placeJob(job, roomsOf(service), load);
       const waitingWork = workOf(job.step, job.waitingTasks.length);
-      const estimatedWaitMs = estimate.waitMsFor(load.waitingWork + waitingWork);
+      const estimatedWaitMs = estimate.waitMsFor(load.waitingWork, waitingWork);
       this.refuseIfHopeless(job, roomsOf(service), estimatedWaitMs);
       if (job.isOpen) load.waitingWork += waitingWork;
     });
--- a/packages/dispatch/src/QueueEstimate.ts
+++ b/packages/dispatch/src/QueueEstimate.ts
@@ -58,14 +58,16 @@
   }
 
   /**
-   * Estimates when queued work has been placed.
+   * Estimates when queued work has been placed. One more job counts as placed than was seen, so that a
+   * time in which nothing was placed is taken to go on for about as long, and not forever.
    *
-   * @param work - the work, in thousandths of a core times milliseconds
+   * @param workAhead - work that is placed before the job, in thousandths of a core times milliseconds
+   * @param jobWork - work of the job itself
    * @returns time until the last of it is placed, in milliseconds; `undefined` when too little has been
    * observed for an estimate
    */
-  waitMsFor(work: number): number | undefined {
+  waitMsFor(workAhead: number, jobWork: number): number | undefined {
     if (this.waitingMs < MIN_OBSERVED_MS) return undefined;
-    return (work * this.waitingMs) / Math.max(this.placedWork, 1);
+    return ((workAhead + jobWork) * this.waitingMs) / Math.max(this.placedWork + jobWork, 1);
   }
 }
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -65,6 +65,9 @@
 /** Shortest time after which a refused client is told to retry, in milliseconds. */
 export const MIN_RETRY_AFTER_MS = 200;
 
+/** Longest time after which a refused client is told to retry, before jitter, in milliseconds. */
+export const MAX_RETRY_AFTER_MS = 5_000;
+
 /** Time before the client's deadline at which an unfinished job is answered, in milliseconds. */
 export const DEADLINE_MARGIN_MS = 15;
 
--- a/packages/dispatch/src/findRefusal.ts
+++ b/packages/dispatch/src/findRefusal.ts
@@ -1,4 +1,4 @@
-import { MIN_RETRY_AFTER_MS, NO_WORKERS_RETRY_AFTER_MS } from './constants';
+import { MAX_RETRY_AFTER_MS, MIN_RETRY_AFTER_MS, NO_WORKERS_RETRY_AFTER_MS } from './constants';
 import type { RefusalReason } from './job';
 
 /** What is known of a waiting job of which nothing has run, and of the work ahead of it. */
@@ -36,5 +36,6 @@
   const waitMs = estimatedWaitMs ?? 0;
   if (waitMs <= startWithinMs) return undefined;
   // There is room again once the work that waits now has been placed.
-  return { reason: 'noRoom', retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, waitMs) * (1 + jitter) };
+  const roomAfterMs = Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, waitMs));
+  return { reason: 'noRoom', retryAfterMs: roomAfterMs * (1 + jitter) };
 };
