--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -26,6 +26,9 @@
 /** Longest delay before an attempt to reconnect, before jitter, in milliseconds. */
 export const MAX_RECONNECT_BACKOFF_MS = 2_000;
 
+/** Smallest random factor by which placement weights the room of a worker; the largest is 1 more. */
+export const MIN_ROOM_WEIGHT = 0.5;
+
 /** Number of new connections that an entry opens at once; the others follow one by one. */
 export const DIALS_AT_ONCE = 16;
 
@@ -74,5 +77,8 @@
 /** A job is of no use to its client once it takes this many times its latency objective. */
 export const MAX_LATENESS_FACTOR = 3;
 
+/** Part of the time to its objective for which a job waits for a service without workers. */
+export const NO_WORKERS_WAIT_SHARE = 1 / 4;
+
 /** Time after which a client is told to retry when the service has no workers, in milliseconds. */
 export const NO_WORKERS_RETRY_AFTER_MS = 1_000;
--- a/packages/dispatch/src/findRefusal.ts
+++ b/packages/dispatch/src/findRefusal.ts
@@ -1,4 +1,9 @@
-import { MAX_RETRY_AFTER_MS, MIN_RETRY_AFTER_MS, NO_WORKERS_RETRY_AFTER_MS } from './constants';
+import {
+  MAX_RETRY_AFTER_MS,
+  MIN_RETRY_AFTER_MS,
+  NO_WORKERS_RETRY_AFTER_MS,
+  NO_WORKERS_WAIT_SHARE,
+} from './constants';
 import type { RefusalReason } from './job';
 
 /** What is known of a waiting job of which nothing has run, and of the work ahead of it. */
@@ -30,7 +35,7 @@
  */
 export const findRefusal = (job: WaitingJob, jitter: number): Refusal | undefined => {
   const { ageMs, objectiveMs, startWithinMs, estimatedWaitMs, hasWorkers } = job;
-  if (!hasWorkers && ageMs >= objectiveMs / 4) {
+  if (!hasWorkers && ageMs >= objectiveMs * NO_WORKERS_WAIT_SHARE) {
     return { reason: 'noWorkers', retryAfterMs: NO_WORKERS_RETRY_AFTER_MS * (1 + jitter) };
   }
   const waitMs = estimatedWaitMs ?? 0;
--- a/packages/dispatch/src/placeTasks.ts
+++ b/packages/dispatch/src/placeTasks.ts
@@ -1,4 +1,4 @@
-import { EQUAL_SLOWNESS_FACTOR, MAX_SLOWNESS_FACTOR } from './constants';
+import { EQUAL_SLOWNESS_FACTOR, MAX_SLOWNESS_FACTOR, MIN_ROOM_WEIGHT } from './constants';
 
 /** An agent whose worker could run tasks of a step. */
 export type Candidate = {
@@ -69,7 +69,7 @@
     .filter((candidate) => candidate.fittingTasks > 0 && isAcceptable(candidate, goal))
     .map((candidate) => ({
       ...candidate,
-      weight: candidate.fittingTasks * (0.5 + random()),
+      weight: candidate.fittingTasks * (MIN_ROOM_WEIGHT + random()),
     }))
     .sort(
       (a, b) =>
