A pause of our own process no longer makes others look silent

Cause: a process that was paused, or had no processor time, runs its timers before it reads its sockets. An entry that woke up closed its links to agents whose answers had arrived, so that their runs were given up and started again a second later; an agent stopped a run whose start the worker had answered, and closed the connection of an entry that had renewed.

Ruled out: longer timeouts, which only move the length of the pause that does harm.

--- a/packages/gate/src/EntryConnections.ts
+++ b/packages/gate/src/EntryConnections.ts
@@ -1,3 +1,4 @@
+import { setIoTimeout } from '@marjorammast/protocol';
 import type {
   AdmissionRules,
   Link,
@@ -53,7 +54,8 @@
 
   private viewTimerDueAt = Infinity;
 
-  private silenceTimer: NodeJS.Timeout | undefined;
+  /** Set while entries with runs are watched. */
+  private clearSilenceTimeout: (() => void) | undefined;
 
   private isChangePending = false;
 
@@ -183,7 +185,7 @@
   /** Closes all connections. */
   closeAll(): void {
     clearTimeout(this.viewTimer);
-    clearTimeout(this.silenceTimer);
+    this.clearSilenceTimeout?.();
     this.connections.forEach(({ link }) => link.close());
   }
 
@@ -265,16 +267,16 @@
    * at which one would have been silent for too long.
    */
   private watchSilence(): void {
-    if (this.silenceTimer) return;
+    if (this.clearSilenceTimeout) return;
     const owners = this.host.ownersOfRuns();
     const contactTimes = [...this.connections.values()].flatMap(({ id, lastContactAt }) =>
       owners.has(id) ? [lastContactAt] : [],
     );
     if (contactTimes.length === 0) return;
     const delayMs = Math.min(...contactTimes) + ENTRY_TIMEOUT_MS - performance.now();
-    this.silenceTimer = setTimeout(
+    this.clearSilenceTimeout = setIoTimeout(
       () => {
-        this.silenceTimer = undefined;
+        this.clearSilenceTimeout = undefined;
         this.closeSilent();
         this.watchSilence();
       },
--- a/packages/gate/tests/EntryConnections.test.ts
+++ b/packages/gate/tests/EntryConnections.test.ts
@@ -1,6 +1,7 @@
 import * as fc from 'fast-check';
 import { createLog } from '@marjorammast/telemetry';
 import type { Link, WorkerView } from '@marjorammast/protocol';
+import { ENTRY_TIMEOUT_MS } from '../src/constants';
 import { EntryConnections } from '../src/EntryConnections';
 
 const CAPACITY = { cpu: 16_000, memoryMb: 32_000, accelerators: 0 };
@@ -103,4 +104,23 @@
     expect(closed).toEqual([silent.name]);
     connections.closeAll();
   });
+
+  it('does not take an entry for silent that has renewed while the agent was paused', async () => {
+    jest.useRealTimers();
+    const { connections, links, owners, closed } = createFixture();
+    const [entry] = links;
+    if (!entry) return;
+    owners.add(connections.idOf(entry));
+    connections.recordAssignment(entry, TASK, false);
+    await new Promise<void>((resolve) => {
+      setImmediate(() => {
+        setImmediate(() => connections.recordContact(entry));
+        const pausedUntil = performance.now() + ENTRY_TIMEOUT_MS + 50;
+        while (performance.now() < pausedUntil);
+        setTimeout(resolve, 50);
+      });
+    });
+    expect(closed).toEqual([]);
+    connections.closeAll();
+  });
 });
--- a/packages/protocol/src/Link.ts
+++ b/packages/protocol/src/Link.ts
@@ -1,6 +1,7 @@
 import { JSONRPCClient, JSONRPCServer, JSONRPCServerAndClient } from 'json-rpc-2.0';
 import { CALL_TIMEOUT_MS } from './constants';
 import { callSchemas } from './messages';
+import { setIoTimeout } from './setIoTimeout';
 import type { Method, Params, Result } from './messages';
 
 /** Why a remote call failed. */
@@ -142,11 +143,11 @@
     timeoutMs: number = CALL_TIMEOUT_MS,
   ): Promise<Result<M>> {
     if (!this.open) throw CallError.create('notSent', `link to ${this.name} is closed`);
-    let timer: NodeJS.Timeout | undefined;
+    let clearCallTimeout = (): void => undefined;
     const timeout = new Promise<never>((_, reject) => {
       if (timeoutMs <= 0) return;
       const expire = () => reject(CallError.create('lost', `${method} to ${this.name} timed out`));
-      timer = setTimeout(expire, timeoutMs);
+      clearCallTimeout = setIoTimeout(expire, timeoutMs);
     });
     try {
       const result = await Promise.race([this.rpc.request(method, params), timeout]);
@@ -154,7 +155,7 @@
     } catch (error) {
       throw this.toCallError(error);
     } finally {
-      clearTimeout(timer);
+      clearCallTimeout();
     }
   }
 
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -8,6 +8,7 @@
 export * from './Link';
 export * from './registration';
 export * from './messages';
+export * from './setIoTimeout';
 export * from './sleep';
 export * from './taskId';
 export * from './tcp';
--- a/packages/protocol/tests/Link.test.ts
+++ b/packages/protocol/tests/Link.test.ts
@@ -91,4 +91,20 @@
     );
     expect(unexpected).toEqual([]);
   });
+
+  // A process that was paused for longer than the timeout runs its timers before it reads its sockets. It
+  // must not take the other process for silent.
+  it('takes an answer that had arrived while the process was paused', async () => {
+    const { link, written } = createFixture();
+    const result = await new Promise((resolve, reject) => {
+      setImmediate(() => {
+        link.call('renew', {}, 20).then(resolve, reject);
+        const [{ id }] = written as [{ id: number }];
+        setImmediate(() => link.receive({ jsonrpc: '2.0', id, result: { clock: 7 } }));
+        const pausedUntil = performance.now() + 60;
+        while (performance.now() < pausedUntil);
+      });
+    });
+    expect(result).toEqual({ clock: 7 });
+  });
 });
