--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -34,7 +34,7 @@
 };
 
 /** Work of one queue in a pass, in thousandths of a core times milliseconds. */
-type PassLoad = { placedWork: number; waitingWork: number };
+type PassLoad = { placedWork: number; waitingWork: number; hasWorkers: boolean };
 
 /** Assigns the tasks of accepted jobs to agents and applies the results of their runs to the jobs. */
 export class Dispatcher {
@@ -170,7 +170,8 @@
     jobs.forEach(({ job, isLate }) => {
       const { service } = job.route;
       const estimate = this.estimateOf(service, isLate);
-      const load = loads.get(estimate) ?? { placedWork: 0, waitingWork: 0 };
+      const { hasWorkers } = roomsOf(service);
+      const load = loads.get(estimate) ?? { placedWork: 0, waitingWork: 0, hasWorkers };
       loads.set(estimate, load);
       this.placeJob(job, roomsOf(service), load);
       const waitingWork = workOf(job.step, job.waitingTasks.length);
@@ -178,8 +179,9 @@
       this.refuseIfHopeless(job, roomsOf(service), estimatedWaitMs);
       if (job.isOpen) load.waitingWork += waitingWork;
     });
-    loads.forEach(({ placedWork, waitingWork }, estimate) => {
-      estimate.record(placedWork, waitingWork > 0, now);
+    loads.forEach(({ placedWork, waitingWork, hasWorkers }, estimate) => {
+      // How fast work is placed cannot be seen while there is no worker.
+      estimate.record(placedWork, waitingWork > 0 && hasWorkers, now);
     });
     if (this.queue.size === 0) clearTimeout(this.passTimer);
   }
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -42,7 +42,7 @@
 export const MAX_DISPATCH_PASS_INTERVAL_MS = 20;
 
 /** Window over which the rate at which queued work is placed is averaged, in milliseconds. */
-export const QUEUE_ESTIMATE_WINDOW_MS = 1_000;
+export const QUEUE_ESTIMATE_WINDOW_MS = 500;
 
 /**
  * Number of fitting tasks that placement leaves to other entries, which place tasks on the same workers
--- a/packages/dispatch/tests/crowd.test.ts
+++ b/packages/dispatch/tests/crowd.test.ts
@@ -60,10 +60,8 @@
   return ActiveJob.create(request, testRoute, step, 9_000);
 };
 
-/** Replays a crowd and returns the answers with the time that each job took. */
-const replayCrowd = async () => {
-  const { worker, connection } = createWorker();
-  const dispatcher = Dispatcher.create({
+const createDispatcher = (connection: AgentConnection): Dispatcher =>
+  Dispatcher.create({
     dataCenter: 'one',
     connections: () => [connection],
     findConnection: () => connection,
@@ -71,6 +69,11 @@
     random: () => 0,
     log: createLog('dispatcher', 'silent'),
   });
+
+/** Replays a crowd and returns the answers with the time that each job took. */
+const replayCrowd = async () => {
+  const { worker, connection } = createWorker();
+  const dispatcher = createDispatcher(connection);
   worker.endRun = (job) => dispatcher.handleRunEnds('agent', [[job, 0, 1, 'done', RUN_MS]]);
   const answers: { type: string; ms: number; mayHaveRun: boolean; retryAfterMs?: number }[] = [];
   for (let at = 0; at < LENGTH_MS; at += 1_000 / JOBS_PER_S) {
@@ -117,4 +120,31 @@
     const refused = answers.filter(({ type }) => type === 'refused');
     refused.forEach(({ retryAfterMs }) => expect(retryAfterMs).toBeGreaterThanOrEqual(200));
   });
+
+  // Guards against an estimate that counts the time without workers: after all VMs had lost power it had
+  // jobs refused that the returning workers could have run (further, scale-2, 2026-12-04).
+  it('refuses nothing for the time in which there were no workers', async () => {
+    const { worker, connection } = createWorker();
+    const { view } = connection;
+    Object.defineProperty(connection, 'view', { value: undefined, configurable: true });
+    const dispatcher = createDispatcher(connection);
+    worker.endRun = (job) => dispatcher.handleRunEnds('agent', [[job, 0, 1, 'done', RUN_MS]]);
+    const types: string[] = [];
+    const add = (id: number): void => {
+      const job = createJob(String(id));
+      void job.waitForOutcome().then(({ type }) => types.push(type));
+      dispatcher.add(job);
+    };
+    for (let id = 0; id < 100; id += 1) {
+      add(1_000 + id);
+      await jest.advanceTimersByTimeAsync(10);
+    }
+    const answeredBefore = types.length;
+    Object.defineProperty(connection, 'view', { value: view });
+    for (let id = 0; id < 3 * SLOTS; id += 1) add(id);
+    await jest.advanceTimersByTimeAsync(1_000);
+    dispatcher.halt();
+    expect(types.slice(0, answeredBefore).every((type) => type === 'refused')).toBe(true);
+    expect(types.filter((type) => type === 'completed').length).toBeGreaterThanOrEqual(3 * SLOTS);
+  });
 });
