Keep the reading of an agent's clock that took least time

Cause: an entry without processor time (after all power off on 0.12 cores) handles answers late.

Ruled out: a longer bound on the age of assignments, which the fence of runs rests on (RUN_EXPIRY_MS).

Change: ClockReading replaces a reading only by one that was under way for less, allowing for drift; the age that an agent computes is never below the true one.

--- a/packages/dispatch/src/AgentConnection.ts
+++ b/packages/dispatch/src/AgentConnection.ts
@@ -9,6 +9,7 @@
   WorkerView,
 } from '@marjorammast/protocol';
 import type { Log } from '@marjorammast/telemetry';
+import { ClockReading } from './ClockReading';
 import {
   AGENT_CALL_TIMEOUT_MS,
   ATTACH_TIMEOUT_MS,
@@ -51,10 +52,8 @@
   /** Resources of the assignments that the agent has not answered. */
   private readonly reserved = new Set<Resources>();
 
-  /** Newest reading of the agent's clock, sent back with each assignment to show its age. */
-  private agentClock = 0;
-
-  private agentClockReadAt = 0;
+  /** Reading of the agent's clock, sent back with each assignment to show its age. */
+  private clockReading = ClockReading.create(0);
 
   /** Monotonic time of the last assignment or renewal, in milliseconds. */
   private lastContactAt = 0;
@@ -163,10 +162,10 @@
     this.lastContactAt = performance.now();
     this.scheduleRenewal(RENEW_PERIOD_MS);
     try {
-      const heldMs = performance.now() - this.agentClockReadAt;
-      const params = { ...assignment, echo: this.agentClock, heldMs };
+      const { clock: echo, at } = this.clockReading;
+      const params = { ...assignment, echo, heldMs: performance.now() - at };
       const answer = await link.call('assign', params, AGENT_CALL_TIMEOUT_MS);
-      this.recordClock(answer.clock);
+      this.clockReading.update(answer.clock);
       this.updateFree(answer.free);
       return answer;
     } catch (error) {
@@ -237,18 +236,13 @@
   private async sendRenewal(link: Link): Promise<void> {
     try {
       const { clock } = await link.call('renew', {}, AGENT_CALL_TIMEOUT_MS);
-      this.recordClock(clock);
+      this.clockReading.update(clock);
     } catch (error) {
       if (link.isOpen) this.logFailure('agent_silent', error);
       link.close();
     }
   }
 
-  private recordClock(clock: number): void {
-    this.agentClock = clock;
-    this.agentClockReadAt = performance.now();
-  }
-
   private async open(): Promise<void> {
     try {
       const link = await this.host.dial(this.agent.address);
@@ -270,7 +264,7 @@
         link.close();
         return;
       }
-      this.recordClock(answer.clock);
+      this.clockReading = ClockReading.create(answer.clock);
       this.link = link;
       this.failedAttempts = 0;
       this.lastContactAt = performance.now();
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -35,6 +35,9 @@
 /** Time between two of the connections that follow, in milliseconds. */
 export const DIAL_INTERVAL_MS = 15;
 
+/** Largest drift between the clocks of two VMs that is reckoned with, as a part of the elapsed time. */
+export const MAX_CLOCK_DRIFT = 0.001;
+
 /** Largest number of agents that an entry chooses to connect to. */
 export const MAX_ATTACHED_AGENTS = 64;
 
