--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -212,7 +212,7 @@
   async submit(submission: Submission): Promise<JobOutcome> {
     const { job: request, route } = submission;
     const startedAt = performance.now();
-    const outcome = this.findRefusal(request) ?? (await this.runJob(submission));
+    const outcome = this.refuseUnsupported(request) ?? (await this.runJob(submission));
     const ms = performance.now() - startedAt;
     this.options.meter.answered(route.name, outcome.type, ms);
     const reason = 'reason' in outcome ? outcome.reason : undefined;
@@ -332,7 +332,7 @@
     this.isCatchingUp = false;
   }
 
-  private findRefusal(job: JobRequest): JobOutcome | undefined {
+  private refuseUnsupported(job: JobRequest): JobOutcome | undefined {
     const feature = unsupportedFeature(job);
     if (feature) {
       this.options.log.warn({ job: job.id, feature }, 'not_supported');
