Tell a crashed worker from a silent one in logs and metrics

Ruled out: taking a closed connection as proof of a crash; only a refused one is, after a second command without an answer. Change: WorkerContact dates the loss and knows gone from silent; the agent writes worker_crashed and a run_lost line with the age of each run at the crash, and counts crashes; the entry writes task_lapsed. Nothing decides on it yet.

--- a/marjorammast-app/src/gateAgent.ts
+++ b/marjorammast-app/src/gateAgent.ts
@@ -18,6 +18,8 @@
   const metrics = createPrometheusMetrics();
   const runTimes = metrics.histogram('marjorammast_run_ms', 'Time of a run', ['how']);
   const assignments = metrics.counter('marjorammast_assigned', 'Runs by answer', ['answer']);
+  const crashes = metrics.counter('marjorammast_worker_crashes', 'Crashes of the worker', []);
+  const lostByCrash = metrics.counter('marjorammast_runs_lost', 'Runs on crashed workers', []);
   const agent = GateAgent.create({
     name,
     dataCenter,
@@ -30,6 +32,10 @@
         if (declined > 0) assignments.inc({ answer: reason }, declined);
       },
       ended: (how, ms) => runTimes.observe({ how }, ms),
+      crashed: (lostRuns) => {
+        crashes.inc();
+        lostByCrash.inc(lostRuns);
+      },
     },
   });
   const traffic = { sentBytes: 0, receivedBytes: 0, messages: 0 };
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -397,7 +397,11 @@
         job.raiseRunNumber(index);
         this.requeueAfterEnd(job, index);
       })
-      .with('stopped', 'lapsed', () => this.requeueAfterEnd(job, index))
+      .with('lapsed', () => {
+        this.host.log.info({ job: job.id, index, agent, run: task.run }, 'task_lapsed');
+        this.requeueAfterEnd(job, index);
+      })
+      .with('stopped', () => this.requeueAfterEnd(job, index))
       .exhaustive();
   }
 
--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -17,7 +17,7 @@
 import { SlownessEstimate, findSlowRuns } from './SlownessEstimate';
 import { WorkerHealth } from './WorkerHealth';
 import { WorkerSession } from './WorkerSession';
-import type { Run } from './run';
+import type { LostRun, Run } from './run';
 import type { SessionHandover } from './WorkerSession';
 import type { WorkerClient, WorkerIdentity, WorkerReport } from './WorkerClient';
 
@@ -25,6 +25,7 @@
 export type GateMeter = {
   assigned: (admitted: number, declined: number, reason: string) => void;
   ended: (how: RunEnd, ms: number) => void;
+  crashed: (lostRuns: number) => void;
 };
 
 /** Configuration and dependencies of an agent. */
@@ -168,7 +169,7 @@
   }
 
   private beginSession(firstReport: WorkerReport): void {
-    this.endSession('replaced');
+    this.endSession('replaced', true);
     this.health = this.createHealth();
     this.slowness = SlownessEstimate.create();
     const { id, born, service, capacity } = firstReport;
@@ -179,7 +180,8 @@
       onUnhealthy: (run: Run) => this.recordFailure(run, 'unhealthy'),
       onChanged: () => this.connections.handleChange(),
       findRunsToMove: (runs: readonly Run[]) => this.findRunsToMove(runs),
-      onReplaced: () => this.endSession('another incarnation answered'),
+      onReplaced: () => this.endSession('another incarnation answered', true),
+      onCrashed: (lostRuns: readonly LostRun[]) => this.handleCrash(firstReport, lostRuns),
       log: this.options.log,
     };
     this.session = WorkerSession.create(firstReport, host, this.handover);
@@ -187,18 +189,28 @@
     this.connections.handleChange();
   }
 
-  private endSession(reason: string): void {
+  private endSession(reason: string, hasCrashed = false): void {
     const { session } = this;
     if (!session) return;
     this.session = undefined;
     const { id, born } = session.identity;
     this.options.log.info({ worker: id, born, reason, runs: session.runCount }, 'worker_ended');
-    this.handover = session.end();
+    this.handover = session.end(hasCrashed);
     const { unconfirmed: runs } = this.handover;
     if (runs.length > 0) setTimeout(() => this.expireUnconfirmed(runs), UNCONFIRMED_RUN_MS);
     this.connections.handleChange();
   }
 
+  private handleCrash({ id, born }: WorkerIdentity, lostRuns: readonly LostRun[]): void {
+    const { log, meter } = this.options;
+    meter.crashed(lostRuns.length);
+    log.warn({ worker: id, born, runs: lostRuns.length }, 'worker_crashed');
+    lostRuns.forEach(({ run, ageMs }) => {
+      const task = taskKey(run.task);
+      log.warn({ task, run: run.run, ageMs: Math.round(ageMs) }, 'run_lost');
+    });
+  }
+
   /**
    * Reports unconfirmed runs as lapsed, unless a session has taken them over: their leases have
    * expired by now.
--- a/packages/gate/src/WorkerClient.ts
+++ b/packages/gate/src/WorkerClient.ts
@@ -56,7 +56,12 @@
 export type CommandResult =
   | { type: 'accepted'; clock: number }
   | { type: 'refused'; reason: CommandRefusal; clock?: number }
-  | { type: 'noAnswer'; detail: string };
+  | {
+      type: 'noAnswer';
+      detail: string;
+      /** Nothing accepts connections at the worker's address. */
+      wasRefused: boolean;
+    };
 
 /** Answer to a {@link HoldCommand}. */
 export type HoldResult =
--- a/packages/gate/src/WorkerSession.ts
+++ b/packages/gate/src/WorkerSession.ts
@@ -8,15 +8,11 @@
 } from '@marjorammast/protocol';
 import type { Resources, RunEnd, TaskId } from '@marjorammast/protocol';
 import type { Log } from '@marjorammast/telemetry';
-import {
-  LONG_POLL_MS,
-  UNANSWERED_COMMAND_LIMIT,
-  RENEW_PERIOD_MS,
-  RETRY_PAUSE_MS,
-} from './constants';
+import { LONG_POLL_MS, RENEW_PERIOD_MS, RETRY_PAUSE_MS } from './constants';
 import { EndedRuns } from './EndedRuns';
 import { findStalledRuns } from './findStalledRuns';
-import type { Run } from './run';
+import type { LostRun, Run } from './run';
+import { WorkerContact } from './WorkerContact';
 import { WorkerLease } from './WorkerLease';
 import type {
   HoldResult,
@@ -51,6 +47,8 @@
   findRunsToMove: (runs: readonly Run[]) => Run[];
   /** Called when another incarnation of the worker has answered. */
   onReplaced: () => void;
+  /** Called once the worker is known to have crashed, with the runs that it had. */
+  onCrashed: (lostRuns: readonly LostRun[]) => void;
   log: Log;
 };
 
@@ -80,7 +78,12 @@
 
   private readonly lease: WorkerLease;
 
-  private unansweredCommands = 0;
+  private readonly contact = WorkerContact.create();
+
+  /** Runs that were reported as lapsed while the worker did not answer. */
+  private lapsedRuns: Run[] = [];
+
+  private isCrashReported = false;
 
   /**
    * True while the latest list shows only runs known to this session. Unknown runs occupy an unknown
@@ -143,7 +146,7 @@
   get unavailableReason(): string {
     if (this.hasEnded) return 'worker gone';
     if (this.report.isLeaving) return 'worker leaving';
-    if (this.unansweredCommands >= UNANSWERED_COMMAND_LIMIT) return 'worker silent';
+    if (this.contact.isSilent) return 'worker silent';
     if (!this.isReconciled) return 'runs unknown';
     return '';
   }
@@ -220,9 +223,11 @@
    * the worker has listed are reported as lapsed: they ended with this incarnation, or will end with
    * their lease. The start commands of the other runs may still reach the next incarnation.
    *
+   * @param hasCrashed - true when the worker has another incarnation without having left before
    * @returns the state that the next session takes over
    */
-  end(): SessionHandover {
+  end(hasCrashed = false): SessionHandover {
+    if (hasCrashed && !this.report.isLeaving) this.reportCrash();
     this.hasEnded = true;
     clearTimeout(this.renewalTimer);
     const unconfirmed = this.select(({ wasListed }) => !wasListed);
@@ -242,7 +247,9 @@
   }
 
   private recordContact(clock: number | undefined): void {
-    this.unansweredCommands = 0;
+    this.contact.recordAnswer();
+    this.lapsedRuns = [];
+    this.isCrashReported = false;
     if (clock !== undefined) this.lease.syncClock(clock);
   }
 
@@ -271,8 +278,8 @@
           this.removeRun(run, 'notRun');
         }
       })
-      .with({ type: 'noAnswer' }, ({ detail }) => {
-        this.recordUnanswered('start', detail);
+      .with({ type: 'noAnswer' }, ({ detail, wasRefused }) => {
+        this.recordUnanswered('start', detail, wasRefused);
         this.host.log.warn({ task: taskKey(task), run: run.run, detail }, 'start_unanswered');
         void this.stopUntilConfirmed(run);
       })
@@ -357,7 +364,7 @@
    * lease, so there is no other one until it is answered: the lease of an unresponsive worker expires.
    */
   private async listRuns(waitMs: number): Promise<RunList | undefined> {
-    const isRenewal = this.runs.size > 0 && this.unansweredCommands === 0 && !this.isRenewing;
+    const isRenewal = this.runs.size > 0 && this.contact.isAnswering && !this.isRenewing;
     const leaseUntil = isRenewal ? this.lease.extend() : undefined;
     if (waitMs === 0 && isRenewal) this.isRenewing = true;
     const command = { ...this.commandBase, lastEnd: this.lastEndNumber, leaseUntil, waitMs };
@@ -368,6 +375,17 @@
     return list;
   }
 
+  private reportCrash(): void {
+    if (this.isCrashReported) return;
+    this.isCrashReported = true;
+    const crashedAt = this.contact.lostAt ?? performance.now();
+    const lostRuns = [...this.runs.values(), ...this.lapsedRuns]
+      .map((run) => ({ run, ageMs: crashedAt - run.admittedAt }))
+      // A run that was admitted after the crash did not reach the worker.
+      .filter(({ ageMs }) => ageMs >= 0);
+    this.host.onCrashed(lostRuns);
+  }
+
   /** Waits for ends of runs on the worker, with repeated long polls, until the session ends. */
   private async watchEnds(): Promise<void> {
     while (!this.hasEnded) {
@@ -386,7 +404,7 @@
           this.host.onReplaced();
           return undefined;
         }
-        const wasUnresponsive = this.unansweredCommands >= UNANSWERED_COMMAND_LIMIT;
+        const wasUnresponsive = this.contact.isSilent;
         this.recordContact(list.clock);
         this.listedAt = performance.now();
         list.ended.forEach((end) => this.recordEnd(end.number, end.task, end.run, end.how));
@@ -421,13 +439,17 @@
         this.host.log.warn({ call: command, reason }, 'command_refused');
         if (reason === 'otherLife') this.host.onReplaced();
       })
-      .with({ type: 'noAnswer' }, ({ detail }) => this.recordUnanswered(command, detail))
+      .with({ type: 'noAnswer' }, ({ detail, wasRefused }) =>
+        this.recordUnanswered(command, detail, wasRefused),
+      )
       .exhaustive();
   }
 
-  private recordUnanswered(command: string, detail: string): void {
-    this.unansweredCommands += 1;
-    if (this.unansweredCommands !== UNANSWERED_COMMAND_LIMIT) return;
+  private recordUnanswered(command: string, detail: string, wasRefused: boolean): void {
+    const wasSilent = this.contact.isSilent;
+    this.contact.recordUnanswered(wasRefused);
+    if (this.contact.isGone) this.reportCrash();
+    if (wasSilent || !this.contact.isSilent) return;
     this.host.log.warn({ call: command, detail, runs: this.runs.size }, 'worker_silent');
     this.host.onChanged();
   }
@@ -492,11 +514,12 @@
 
   /** Reports all runs as lapsed when their lease has expired while the worker did not answer. */
   private expireRunsIfUnresponsive(): void {
-    if (this.unansweredCommands < UNANSWERED_COMMAND_LIMIT || this.runs.size === 0) return;
-    if (!this.lease.hasExpired) return;
+    if (!this.contact.isSilent || this.runs.size === 0 || !this.lease.hasExpired) return;
     // No run may start until a list has shown which runs are still active on the worker.
     this.isReconciled = false;
-    [...this.runs.values()].forEach((run) => this.removeRun(run, 'lapsed'));
+    const runs = [...this.runs.values()];
+    this.lapsedRuns.push(...runs);
+    runs.forEach((run) => this.removeRun(run, 'lapsed'));
   }
 
   private removeRun(run: Run, how: RunEnd): void {
--- a/packages/gate/src/run.ts
+++ b/packages/gate/src/run.ts
@@ -23,3 +23,10 @@
   /** True once the worker has listed the run as running. */
   wasListed: boolean;
 };
+
+/** A run that was on a worker when it crashed. */
+export type LostRun = {
+  run: Run;
+  /** Time from the run's admission to the crash, in milliseconds. */
+  ageMs: number;
+};
--- a/packages/gate/tests/GateAgent.test.ts
+++ b/packages/gate/tests/GateAgent.test.ts
@@ -88,7 +88,7 @@
       worker: createWorkerClient(() => isReconciled),
       clock: () => performance.now(),
       log: createLog('agent', 'silent'),
-      meter: { assigned: jest.fn(), ended: jest.fn() },
+      meter: { assigned: jest.fn(), ended: jest.fn(), crashed: jest.fn() },
     });
     agent.handleReport(report);
     const first = await attach(agent, 'first');
@@ -112,7 +112,7 @@
       worker: createWorkerClient(() => true),
       clock: () => performance.now(),
       log: createLog('agent', 'silent'),
-      meter: { assigned: jest.fn(), ended: jest.fn() },
+      meter: { assigned: jest.fn(), ended: jest.fn(), crashed: jest.fn() },
     });
     agent.handleReport(report);
     await jest.advanceTimersByTimeAsync(10);
--- a/packages/gate/tests/WorkerSession.test.ts
+++ b/packages/gate/tests/WorkerSession.test.ts
@@ -20,7 +20,11 @@
 
 const accepted: CommandResult = { type: 'accepted', clock: CLOCK };
 
-const noAnswer: CommandResult = { type: 'noAnswer', detail: 'silent' };
+const noAnswer: CommandResult = {
+  type: 'noAnswer',
+  detail: 'silent',
+  wasRefused: false,
+};
 
 const report: WorkerReport = {
   id: 'i-1',
@@ -90,6 +94,7 @@
     onChanged: jest.fn(),
     findRunsToMove: () => [],
     onReplaced: jest.fn(),
+    onCrashed: jest.fn(),
     log: createLog('session', 'silent'),
   };
   const session = WorkerSession.create(report, host, handover);
--- a/packages/proofs/tests/support/MemoryWorker.ts
+++ b/packages/proofs/tests/support/MemoryWorker.ts
@@ -44,6 +44,8 @@
 /** Behaviour of each task of a job; passed as JSON in the `spec` of the job. */
 export type TaskSpec = { runMs: number; cpu: number; fails?: boolean };
 
+type NoAnswer = Extract<CommandResult, { type: 'noAnswer' }>;
+
 /**
  * Maximum length of a lease, in milliseconds of the worker's clock. The worker shortens longer ones.
  */
@@ -183,9 +185,9 @@
     const executeCommand = async <T extends HoldResult | CommandResult>(
       command: () => T,
       isHold = false,
-    ): Promise<T | { type: 'noAnswer'; detail: string }> => {
+    ): Promise<T | NoAnswer> => {
       // A killed agent sends no commands.
-      if (!isAlive()) return { type: 'noAnswer', detail: 'agent dead' };
+      if (!isAlive()) return { type: 'noAnswer', detail: 'agent dead', wasRefused: false };
       const { commandFault } = this;
       const isLate = commandFault === 'late' || (commandFault === 'delayed' && !isHold);
       const delayMs = commandFault === 'late' ? LATE_DELAY_MS : SHORT_DELAY_MS;
@@ -199,7 +201,7 @@
       await new Promise((resolve) => {
         setTimeout(resolve, COMMAND_TIMEOUT_MS);
       });
-      return { type: 'noAnswer', detail: commandFault };
+      return { type: 'noAnswer', detail: commandFault, wasRefused: false };
     };
     const checkCommand = (worker: { id: string }, token: number): CommandResult | undefined => {
       if (worker.id !== this.id) return { type: 'refused', reason: 'otherLife' };
