Failing test: a task that crashes the workers that start it is started without end

With eight workers in memory, one entry starts such a task 14 times in 10 s; with its entry killed at 300 or 900 ms, the two entries start it 8 and 9 times.

--- a/packages/proofs/tests/checkDispatchGuarantees.test.ts
+++ b/packages/proofs/tests/checkDispatchGuarantees.test.ts
@@ -61,6 +61,19 @@
     expect(findViolatedRules([run(0, 10, 'failed'), run(10, 20, 'failed')], [failed])).toEqual([]);
   });
 
+  it('reports a failure after one crash, and allows one after two', () => {
+    const crash = run(0, 10, 'crashed');
+    const failed = [answer({ type: 'failed', reason: 'crashes' }, 30)];
+    expect(findViolatedRules([crash], failed)).toEqual(['falseFailure']);
+    expect(findViolatedRules([crash, run(11, 20, 'crashed', 'w2')], failed)).toEqual([]);
+  });
+
+  it('reports a third start after three crashes, and allows two', () => {
+    const crashes = [1, 2, 3, 4, 5].map((n) => run(10 * n, 10 * n + 5, 'crashed', `w${n}`));
+    expect(findViolatedRules(crashes, [])).toEqual([]);
+    expect(findViolatedRules([...crashes, run(60, 70, 'done', 'w6')], [])).toEqual(['crashBudget']);
+  });
+
   it('reports a start on a worker that leaves', () => {
     expect(findViolatedRules([{ ...run(0, 10, 'done'), isStartedWhileLeaving: true }], [])).toEqual(
       ['leaving'],
--- /dev/null
+++ b/packages/proofs/tests/workerCrashes.test.ts
@@ -0,0 +1,74 @@
+import { checkDispatchGuarantees } from './support/DispatchSimulation';
+import type { DispatchSimulation } from './support/DispatchSimulation';
+import { runDispatchSchedule } from './support/dispatchSchedule';
+import type { PlannedDispatchFault, PlannedDispatchJob } from './support/dispatchSchedule';
+
+const AGENTS = 8;
+
+const createJob = (fields: Partial<PlannedDispatchJob>): PlannedDispatchJob => ({
+  atMs: 0,
+  entry: 0,
+  tasks: 1,
+  runMs: 150,
+  cpu: 500,
+  fails: false,
+  giveUpMs: undefined,
+  sendsAgain: false,
+  ...fields,
+});
+
+const killEntryAt = (atMs: number): PlannedDispatchFault => ({
+  type: 'killEntry',
+  atMs,
+  forMs: 500,
+  node: 0,
+  other: 0,
+});
+
+const countCrashes = ({ runs }: DispatchSimulation, task: string): number =>
+  runs.filter((run) => run.task.startsWith(task) && run.how === 'crashed').length;
+
+const CRASHING_JOB = '0000000000000001';
+
+describe('tasks that crash the workers that start them', () => {
+  beforeEach(() => {
+    jest.useFakeTimers({ now: 1_800_000_000_000 });
+  });
+
+  afterEach(() => {
+    jest.useRealTimers();
+  });
+
+  it('are given up after two crashes', async () => {
+    const jobs = [createJob({ tasks: 3, crashingTask: 1 })];
+    const simulation = await runDispatchSchedule({ seed: 3, faults: [], jobs }, AGENTS);
+    expect(checkDispatchGuarantees(simulation)).toEqual([]);
+    expect(simulation.answers.map(({ outcome }) => outcome.type)).toEqual(['failed']);
+    expect(countCrashes(simulation, `${CRASHING_JOB}.0.0.1`)).toBe(2);
+  });
+
+  it.each([300, 900])(
+    'are given up after two crashes when their entry is killed at %i ms',
+    async (atMs) => {
+      const jobs = [createJob({ crashingTask: 0, sendsAgain: true })];
+      const faults = [killEntryAt(atMs)];
+      const simulation = await runDispatchSchedule({ seed: 3, faults, jobs }, AGENTS);
+      expect(checkDispatchGuarantees(simulation)).toEqual([]);
+      expect(countCrashes(simulation, CRASHING_JOB)).toBe(2);
+    },
+  );
+
+  it('do not fail the jobs that shared a worker with them', async () => {
+    const crashing = createJob({ atMs: 500, crashingTask: 0 });
+    const others = Array.from({ length: 30 }, (_, index) =>
+      createJob({ atMs: index * 50, entry: index % 2, tasks: 3 }),
+    );
+    const jobs = [crashing, ...others];
+    const simulation = await runDispatchSchedule({ seed: 3, faults: [], jobs }, AGENTS);
+    expect(checkDispatchGuarantees(simulation)).toEqual([]);
+    const outcomes = simulation.answers
+      .filter(({ job }) => job.id !== CRASHING_JOB)
+      .map(({ outcome }) => outcome.type);
+    expect(outcomes).toEqual(Array(others.length).fill('completed'));
+  });
+});
