Give up a task after two workers have crashed under it

Callers saw: jobs held to their deadline (12 s for some) while one of their tasks crashed up to eight workers, and the jobs of others lost with these. Cause: a retry without a budget. Class: failures of a request that are put down to the server. Ruled out: counting every run of a crashed worker as a failure (it would give up the innocent); keeping the count in the store (down when it is needed, and a write for each crash). Change: an agent whose worker crashed tells all attached entries at once, and for a minute those that attach, which runs it had and which had just been started. CrashRecords counts by task; after two crashes just after its start, or three at any time, the job is answered as failed, also when it is sent again elsewhere. A suspected task is started alone: its worker admits nothing else for 100 ms, so that a second crash has one suspect. Runs still end only with their leases. Why it works: the count is kept by those who saw the crash, and outlives the entry.

--- a/packages/dispatch/src/AgentConnection.ts
+++ b/packages/dispatch/src/AgentConnection.ts
@@ -6,6 +6,7 @@
   Params,
   Resources,
   Result,
+  WorkerCrash,
   WorkerView,
 } from '@marjorammast/protocol';
 import type { Log } from '@marjorammast/telemetry';
@@ -31,6 +32,8 @@
   onChange: () => void;
   /** Called when an attached connection is lost; the leases of its runs then expire. */
   onLost: (agent: string) => void;
+  /** Called with each crash that the agent reports, and after each attach with the recent ones. */
+  onCrash: (crash: WorkerCrash) => void;
   /** Called after each attach with the rules that the agent has, which may be newer. */
   onRules: (rules: AdmissionRules) => void;
   random: () => number;
@@ -272,6 +275,7 @@
       link.onClose(() => this.handleClose(link));
       this.host.log.info({ agent: this.name }, 'agent_attached');
       this.host.onRules(answer.rules);
+      answer.crashes.forEach((crash) => this.host.onCrash(crash));
       this.updateView(pendingAttach.view ?? answer.view);
     } catch (error) {
       this.pendingAttach = undefined;
--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -6,6 +6,7 @@
   RegisteredProcess,
   OperatorState,
   Route,
+  WorkerCrash,
 } from '@marjorammast/protocol';
 import { createLimitedWarning } from '@marjorammast/telemetry';
 import type { Log } from '@marjorammast/telemetry';
@@ -18,6 +19,7 @@
   DIAL_INTERVAL_MS,
   MIN_RETRY_AFTER_MS,
 } from './constants';
+import { CrashRecords } from './CrashRecords';
 import { chooseAgents, createAgentRanking } from './chooseAgents';
 import { Dispatcher } from './Dispatcher';
 import { findRoute } from './findRoute';
@@ -60,6 +62,11 @@
 
 const MAX_TASKS_PER_STEP = 1_000;
 
+const createCrashFailure = (index: number): JobOutcome => ({
+  type: 'failed',
+  reason: `workers crashed under task ${index}`,
+});
+
 /** An entry: accepts jobs from clients and answers each when its tasks have ended. */
 export class DispatchEntry {
   readonly dispatcher: Dispatcher;
@@ -82,6 +89,8 @@
 
   private readonly peerClient: PeerClient;
 
+  private readonly crashRecords = CrashRecords.create();
+
   /** Highest store revision of the operator state that another process has reported. */
   private newestKnownRevision = 0;
 
@@ -97,6 +106,7 @@
       connections: () => this.connections.values(),
       findConnection: (agent) => this.connections.get(agent),
       evacuatedDataCenters: () => this.rules.outDataCenters,
+      crashRecords: this.crashRecords,
       random: options.random,
       log: options.log,
     });
@@ -212,7 +222,10 @@
   async submit(submission: Submission): Promise<JobOutcome> {
     const { job: request, route } = submission;
     const startedAt = performance.now();
-    const outcome = this.refuseUnsupported(request) ?? (await this.runJob(submission));
+    const outcome =
+      this.refuseUnsupported(request) ??
+      this.failCrashing(request) ??
+      (await this.runJob(submission));
     const ms = performance.now() - startedAt;
     this.options.meter.answered(route.name, outcome.type, ms);
     const reason = 'reason' in outcome ? outcome.reason : undefined;
@@ -295,6 +308,10 @@
           this.dispatcher.handleRunEnds(connection.name, runs);
           return {};
         },
+        crash: (crash) => {
+          this.handleCrash(crash);
+          return {};
+        },
         operatorState: () => ({ state: this.operatorState }),
         rules: (rules) => {
           this.applyRules(rules);
@@ -344,6 +361,20 @@
     return undefined;
   }
 
+  /** Fails a job with a task that has crashed too many workers, also at another entry. */
+  private failCrashing({ id }: JobRequest): JobOutcome | undefined {
+    const index = this.crashRecords.findSpentTask(id);
+    return index === undefined ? undefined : createCrashFailure(index);
+  }
+
+  private handleCrash(crash: WorkerCrash): void {
+    this.crashRecords.record(crash).forEach(({ job, index, route }) => {
+      const active = this.jobs.get(job);
+      this.options.log.warn({ job, index, route, own: active !== undefined }, 'task_given_up');
+      active?.job.settle(createCrashFailure(index));
+    });
+  }
+
   private async runJob({
     job: request,
     route,
@@ -445,6 +476,7 @@
       hasRuns: (agentName) => this.dispatcher.hasRuns(agentName),
       onChange: () => this.dispatcher.schedulePass(),
       onLost: (agentName) => this.dispatcher.handleAgentLoss(agentName),
+      onCrash: (crash) => this.handleCrash(crash),
       onRules: (rules) => {
         this.applyRules(rules);
         void this.catchUp(rules.revision);
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -3,7 +3,7 @@
 import type { Params, RunEnd } from '@marjorammast/protocol';
 import type { Log } from '@marjorammast/telemetry';
 import type { ActiveJob } from './ActiveJob';
-import type { AgentConnection } from './AgentConnection';
+import type { AgentConnection, Assignment } from './AgentConnection';
 import {
   DECLINE_PAUSE_MS,
   MAX_DISPATCH_PASS_INTERVAL_MS,
@@ -11,8 +11,10 @@
   RESERVED_TASKS,
   RUN_EXPIRY_MS,
 } from './constants';
+import type { CrashRecords } from './CrashRecords';
 import { findRefusal } from './findRefusal';
 import type { Refusal } from './findRefusal';
+import { groupWaitingTasks } from './groupWaitingTasks';
 import { OutstandingRuns } from './OutstandingRuns';
 import type { OutstandingRun } from './OutstandingRuns';
 import { placeTasks } from './placeTasks';
@@ -28,6 +30,8 @@
   findConnection: (agent: string) => AgentConnection | undefined;
   /** Data centres that operators have evacuated: their agents get no tasks. */
   evacuatedDataCenters: () => readonly string[];
+  /** Crashes of workers under tasks, which the entry records. */
+  crashRecords: CrashRecords;
   /** Uniform random numbers in [0, 1). */
   random: () => number;
   log: Log;
@@ -36,6 +40,9 @@
 /** Work of one queue in a pass, in thousandths of a core times milliseconds. */
 type PassLoad = { placedWork: number; waitingWork: number; hasWorkers: boolean };
 
+/** What an agent is told of all tasks of an assignment. */
+type AssignmentTraits = Pick<Assignment, 'bestSlowness' | 'isSuspect'>;
+
 /** Assigns the tasks of accepted jobs to agents and applies the results of their runs to the jobs. */
 export class Dispatcher {
   /** Jobs with waiting tasks. */
@@ -209,19 +216,23 @@
     const { bestSlowness } = rooms;
     const slackMs = objectiveAt - performance.now();
     const goal = { estimateMs: step.estimateMs, slackMs, bestSlowness };
+    const isSuspect = (index: number) => this.host.crashRecords.isSuspect(job.id, index);
     [RESERVED_TASKS, 0].forEach((reservedTasks) => {
-      this.groupWaitingTasks(job).forEach(({ indexes, avoidedAgents }) => {
-        const candidates = rooms.findCandidates(step, avoidedAgents, reservedTasks);
-        if (candidates.length === 0) return;
-        const count = indexes.length;
-        let assignedCount = 0;
-        placeTasks(candidates, { ...goal, count }, this.host.random).forEach((placement) => {
-          const end = assignedCount + placement.count;
-          this.assign(job, placement, indexes.slice(assignedCount, end), bestSlowness);
-          rooms.refresh(placement.agent);
-          assignedCount = end;
-        });
-      });
+      groupWaitingTasks(job, isSuspect).forEach(
+        ({ indexes, avoidedAgents, isSuspect: areSuspects }) => {
+          const candidates = rooms.findCandidates(step, avoidedAgents, reservedTasks);
+          if (candidates.length === 0) return;
+          const count = indexes.length;
+          let assignedCount = 0;
+          placeTasks(candidates, { ...goal, count }, this.host.random).forEach((placement) => {
+            const end = assignedCount + placement.count;
+            const group = indexes.slice(assignedCount, end);
+            this.assign(job, placement, group, { bestSlowness, isSuspect: areSuspects });
+            rooms.refresh(placement.agent);
+            assignedCount = end;
+          });
+        },
+      );
     });
     const waitingTasks = job.waitingTasks.length;
     load.placedWork += workOf(step, waitingBefore - waitingTasks);
@@ -267,48 +278,24 @@
     job.settle({ type: 'refused', ...refusal });
   }
 
-  /**
-   * Groups the waiting tasks of a job for placement. Tasks that failed or stalled before are placed one
-   * by one, since each has its own agents to avoid, and the remaining tasks together.
-   */
-  private groupWaitingTasks(
-    job: ActiveJob,
-  ): { indexes: number[]; avoidedAgents: ReadonlySet<string> }[] {
-    const { waitingTasks } = job;
-    const tasks = waitingTasks.map((index) => ({
-      index,
-      avoidedAgents: job.tasks[index]?.avoidedAgents ?? new Set(),
-    }));
-    const firstAttempts = tasks
-      .filter(({ avoidedAgents }) => avoidedAgents.size === 0)
-      .map(({ index }) => index);
-    const retries = tasks.filter(({ avoidedAgents }) => avoidedAgents.size > 0);
-    return [
-      ...retries.map(({ index, avoidedAgents }) => ({ indexes: [index], avoidedAgents })),
-      ...(firstAttempts.length > 0
-        ? [{ indexes: firstAttempts, avoidedAgents: new Set<string>() }]
-        : []),
-    ];
-  }
-
   private assign(
     job: ActiveJob,
     { agent }: Placement,
     indexes: readonly number[],
-    bestSlowness: number,
+    traits: AssignmentTraits,
   ): void {
     const connection = this.host.findConnection(agent);
     if (!connection) return;
     const runs = indexes.map((index): [number, number] => [index, job.assign(index, agent)]);
     runs.forEach(([index, run]) => this.runs.add(agent, { job, index, run }));
-    void this.sendAssignment(job, connection, runs, bestSlowness);
+    void this.sendAssignment(job, connection, runs, traits);
   }
 
   private async sendAssignment(
     job: ActiveJob,
     connection: AgentConnection,
     runs: [number, number][],
-    bestSlowness: number,
+    traits: AssignmentTraits,
   ): Promise<void> {
     const { request, route, step } = job;
     const { name } = connection;
@@ -318,12 +305,13 @@
         occurrence: 0,
         step: 0,
         service: route.service,
+        route: route.name,
         spec: request.spec,
         needs: step.needs,
         label: step.label,
         maxPerWorker: step.maxPerWorker,
         estimateMs: step.estimateMs,
-        bestSlowness,
+        ...traits,
         runs,
       });
       if (taken.length > 0) job.mayHaveRun = true;
--- a/packages/dispatch/src/chooseAgents.ts
+++ b/packages/dispatch/src/chooseAgents.ts
@@ -3,22 +3,29 @@
 import { MAX_ATTACHED_AGENTS } from './constants';
 
 /**
- * Ranks agents for one entry by a hash of both names (rendezvous hashing). The ranks are kept, since all
+ * Ranks agents for an entry, or for a route, by a hash of both names (rendezvous hashing). The ranks are kept, since all
  * agents are ranked again whenever one of them registers.
  *
- * @param entry - name of the entry
+ * @param owner - name of the entry or the route
  * @returns the rank of an agent by its name; lower ranks come first
  */
-export const createAgentRanking = (entry: string): ((agent: string) => string) => {
+export const createAgentRanking = (owner: string): ((agent: string) => string) => {
   const ranks = new Map<string, string>();
   return (agent) => {
-    const rank = ranks.get(agent) ?? createHash('md5').update(`${entry}>${agent}`).digest('hex');
+    const rank = ranks.get(agent) ?? createHash('md5').update(`${owner}>${agent}`).digest('hex');
     ranks.set(agent, rank);
     return rank;
   };
 };
 
-const compareText = (a: string, b: string): number => Number(a > b) - Number(a < b);
+/**
+ * Compares texts by their code units.
+ *
+ * @param a - a text
+ * @param b - another text
+ * @returns a negative number when `a` comes first, a positive one when `b` does, 0 when they are equal
+ */
+export const compareText = (a: string, b: string): number => Number(a > b) - Number(a < b);
 
 /**
  * Chooses the agents that an entry connects to. Agents of the entry's data centre come before others,
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -68,6 +68,18 @@
  */
 export const DECLINE_PAUSE_MS = 50;
 
+/**
+ * Number of workers that crash just after they have started a task, from which the task is not started
+ * again. One crash may be a coincidence.
+ */
+export const MAX_SUSPICIONS_PER_TASK = 2;
+
+/** Number of workers that crash at any time of a task's runs, from which it is not started again. */
+export const MAX_CRASHES_PER_TASK = 3;
+
+/** Time for which crashes under the tasks of a job are remembered, in milliseconds. */
+export const CRASH_RETENTION_MS = 60_000;
+
 /** Shortest time after which a refused client is told to retry, in milliseconds. */
 export const MIN_RETRY_AFTER_MS = 200;
 
--- /dev/null
+++ b/packages/dispatch/src/groupWaitingTasks.ts
@@ -0,0 +1,43 @@
+import type { ActiveJob } from './ActiveJob';
+
+/** Waiting tasks of a job that are placed together. */
+export type TaskGroup = {
+  /** Indexes of the tasks. */
+  indexes: number[];
+  /** Agents that are used only when there are no others. */
+  avoidedAgents: ReadonlySet<string>;
+  /** A worker crashed just after it had started one of the tasks. */
+  isSuspect: boolean;
+};
+
+/**
+ * Groups the waiting tasks of a job for placement. Tasks that failed or stalled before are placed one by
+ * one, since each has its own agents to avoid. Tasks that are suspected to have crashed a worker are
+ * placed apart from the others.
+ *
+ * @param job - the job
+ * @param isSuspect - tells whether a task is suspected to have crashed a worker
+ * @returns the groups in the order in which they are placed
+ */
+export const groupWaitingTasks = (
+  job: ActiveJob,
+  isSuspect: (index: number) => boolean,
+): TaskGroup[] => {
+  const tasks = job.waitingTasks.map((index) => ({
+    index,
+    avoidedAgents: job.tasks[index]?.avoidedAgents ?? new Set<string>(),
+    isSuspect: isSuspect(index),
+  }));
+  const isFirstAttempt = (task: (typeof tasks)[number]) => task.avoidedAgents.size === 0;
+  const retries = tasks
+    .filter((task) => !isFirstAttempt(task))
+    .map(({ index, ...rest }) => ({ indexes: [index], ...rest }));
+  const others = [true, false].map((areSuspects) => ({
+    indexes: tasks
+      .filter((task) => isFirstAttempt(task) && task.isSuspect === areSuspects)
+      .map(({ index }) => index),
+    avoidedAgents: new Set<string>(),
+    isSuspect: areSuspects,
+  }));
+  return [...retries, ...others].filter(({ indexes }) => indexes.length > 0);
+};
--- a/packages/dispatch/src/job.ts
+++ b/packages/dispatch/src/job.ts
@@ -49,7 +49,7 @@
 /** Outcome of a job for the client that waits for it. */
 export type JobOutcome =
   | { type: 'completed' }
-  /** A task failed as many times as its route allows. */
+  /** A task failed as many times as its route allows, or crashed the workers that started it. */
   | { type: 'failed'; reason: string }
   /** No task has run, and none will run. */
   | { type: 'refused'; reason: RefusalReason; retryAfterMs: number }
--- a/packages/dispatch/tests/AgentConnection.test.ts
+++ b/packages/dispatch/tests/AgentConnection.test.ts
@@ -20,7 +20,14 @@
   // changed again (soak test, seed 30).
   it('keeps a view that is handled before the answer to attach', async () => {
     const rules = { revision: 0, outDataCenters: [] };
-    const answer = { agent: 'a', dataCenter: 'one', rules, view: createView('closed'), clock: 0 };
+    const answer = {
+      agent: 'a',
+      dataCenter: 'one',
+      rules,
+      view: createView('closed'),
+      crashes: [],
+      clock: 0,
+    };
     let deliverView = (): void => undefined;
     const link = {
       isOpen: true,
@@ -45,6 +52,7 @@
         onChange: jest.fn(),
         onLost: jest.fn(),
         onRules: jest.fn(),
+        onCrash: jest.fn(),
         random: () => 0,
         log: createLog('connection', 'silent'),
       },
@@ -67,7 +75,14 @@
     const calls: string[] = [];
     const rules = { revision: 0, outDataCenters: [] };
     const answers: Record<string, object> = {
-      attach: { agent: 'a', dataCenter: 'one', rules, view: createView('open'), clock: 0 },
+      attach: {
+        agent: 'a',
+        dataCenter: 'one',
+        rules,
+        view: createView('open'),
+        crashes: [],
+        clock: 0,
+      },
       assign: { taken: [0], free: NO_RESOURCES, clock: 0 },
       renew: { clock: 0 },
     };
@@ -91,6 +106,7 @@
         onChange: jest.fn(),
         onLost: jest.fn(),
         onRules: jest.fn(),
+        onCrash: jest.fn(),
         random: () => 0,
         log: createLog('connection', 'silent'),
       },
--- /dev/null
+++ b/packages/dispatch/tests/CrashRecords.test.ts
@@ -0,0 +1,59 @@
+import fc from 'fast-check';
+import type { WorkerCrash } from '@marjorammast/protocol';
+import { CrashRecords } from '../src/CrashRecords';
+import { CRASH_RETENTION_MS } from '../src/constants';
+
+const createCrash = (incarnation: string, index = 0, isSuspect = true): WorkerCrash => ({
+  incarnation,
+  runs: [['a', index, 'claims', isSuspect]],
+});
+
+describe('CrashRecords', () => {
+  it('spends the budget of a task with the second crash of which it is suspected', () => {
+    const records = CrashRecords.create();
+    expect(records.record(createCrash('w1'))).toEqual([]);
+    expect(records.isSuspect('a', 0)).toBe(true);
+    expect(records.findSpentTask('a')).toBeUndefined();
+    expect(records.record(createCrash('w2'))).toEqual([{ job: 'a', index: 0, route: 'claims' }]);
+    expect(records.findSpentTask('a')).toBe(0);
+    expect(records.record(createCrash('w3'))).toEqual([]);
+  });
+
+  it('spends it with the third crash when the task was running for longer each time', () => {
+    const records = CrashRecords.create();
+    records.record(createCrash('w1', 0, false));
+    records.record(createCrash('w2', 0, false));
+    expect(records.isSuspect('a', 0)).toBe(false);
+    expect(records.findSpentTask('a')).toBeUndefined();
+    expect(records.record(createCrash('w3', 0, false))).toHaveLength(1);
+  });
+
+  it('counts a crash once, however often it is reported', () => {
+    const report = fc.tuple(fc.constantFrom('w1', 'w2', 'w3'), fc.nat({ max: 2 }), fc.boolean());
+    fc.assert(
+      fc.property(fc.array(report), (reports) => {
+        const records = CrashRecords.create();
+        const given = reports.flatMap((args) => records.record(createCrash(...args)));
+        expect(new Set(given.map(({ index }) => index)).size).toBe(given.length);
+        const isSpent = [0, 1, 2].some((task) => {
+          const ofTask = reports.filter(([, index]) => index === task);
+          const countCrashes = (list: typeof reports) => new Set(list.map(([name]) => name)).size;
+          return countCrashes(ofTask.filter((r) => r[2])) >= 2 || countCrashes(ofTask) >= 3;
+        });
+        expect(records.findSpentTask('a') !== undefined).toBe(isSpent);
+      }),
+      { seed: 1 },
+    );
+  });
+
+  it('forgets a job after the retention time', () => {
+    jest.useFakeTimers();
+    const records = CrashRecords.create();
+    records.record(createCrash('w1'));
+    jest.advanceTimersByTime(CRASH_RETENTION_MS + 1);
+    records.record({ incarnation: 'w2', runs: [['b', 0, 'claims', true]] });
+    expect(records.isSuspect('a', 0)).toBe(false);
+    expect(records.isSuspect('b', 0)).toBe(true);
+    jest.useRealTimers();
+  });
+});
--- a/packages/dispatch/tests/Dispatcher.test.ts
+++ b/packages/dispatch/tests/Dispatcher.test.ts
@@ -2,6 +2,7 @@
 import { createLog } from '@marjorammast/telemetry';
 import type { WorkerView } from '@marjorammast/protocol';
 import type { AgentConnection, Assignment } from '../src/AgentConnection';
+import { CrashRecords } from '../src/CrashRecords';
 import { MAX_DISPATCH_PASS_INTERVAL_MS } from '../src/constants';
 import { Dispatcher } from '../src/Dispatcher';
 import { createTestJob } from './support';
@@ -42,6 +43,7 @@
     connections: () => agents,
     findConnection: (name) => agents.find((agent) => agent.name === name),
     evacuatedDataCenters: () => [],
+    crashRecords: CrashRecords.create(),
     random: () => 0,
     log: createLog('dispatcher', 'silent'),
   });
--- a/packages/dispatch/tests/crowd.test.ts
+++ b/packages/dispatch/tests/crowd.test.ts
@@ -1,5 +1,6 @@
 import { createLog } from '@marjorammast/telemetry';
 import type { Resources, WorkerView } from '@marjorammast/protocol';
+import { CrashRecords } from '../src/CrashRecords';
 import { ActiveJob } from '../src/ActiveJob';
 import type { AgentConnection, Assignment } from '../src/AgentConnection';
 import { MAX_LATENESS_FACTOR } from '../src/constants';
@@ -66,6 +67,7 @@
     connections: () => [connection],
     findConnection: () => connection,
     evacuatedDataCenters: () => [],
+    crashRecords: CrashRecords.create(),
     random: () => 0,
     log: createLog('dispatcher', 'silent'),
   });
--- /dev/null
+++ b/packages/gate/src/CrashHistory.ts
@@ -0,0 +1,31 @@
+import type { WorkerCrash } from '@marjorammast/protocol';
+import { CRASH_RETENTION_MS, MAX_REMEMBERED_CRASHES } from './constants';
+
+/** Recent crashes of an agent's workers, for entries that attach later. */
+export class CrashHistory {
+  private crashes: { at: number; crash: WorkerCrash }[] = [];
+
+  private constructor() {}
+
+  /** @returns no crashes */
+  static create(): CrashHistory {
+    return new CrashHistory();
+  }
+
+  /**
+   * Adds a crash.
+   *
+   * @param crash - the crash
+   */
+  add(crash: WorkerCrash): void {
+    this.crashes = [...this.crashes, { at: performance.now(), crash }].slice(
+      -MAX_REMEMBERED_CRASHES,
+    );
+  }
+
+  /** The crashes that are not older than the retention time. */
+  get recent(): WorkerCrash[] {
+    const oldestKept = performance.now() - CRASH_RETENTION_MS;
+    return this.crashes.filter(({ at }) => at >= oldestKept).map(({ crash }) => crash);
+  }
+}
--- a/packages/gate/src/EntryConnections.ts
+++ b/packages/gate/src/EntryConnections.ts
@@ -5,6 +5,7 @@
   Params,
   Resources,
   RunEnd,
+  WorkerCrash,
   WorkerView,
 } from '@marjorammast/protocol';
 import type { Log } from '@marjorammast/telemetry';
@@ -182,6 +183,15 @@
     this.connections.forEach(({ link }) => link.notify('rules', rules));
   }
 
+  /**
+   * Reports a crash of the worker to all entries.
+   *
+   * @param crash - the crash
+   */
+  sendCrash(crash: WorkerCrash): void {
+    this.connections.forEach(({ link }) => link.notify('crash', crash));
+  }
+
   /** Closes all connections. */
   closeAll(): void {
     clearTimeout(this.viewTimer);
--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -6,14 +6,17 @@
   Params,
   Result,
   RunEnd,
+  WorkerCrash,
   WorkerView,
 } from '@marjorammast/protocol';
 import { createLimitedWarning } from '@marjorammast/telemetry';
 import type { Log } from '@marjorammast/telemetry';
 import { admit } from './admit';
 import type { AdmissionState } from './admit';
-import { STOP_POLL_PERIOD_MS, UNCONFIRMED_RUN_MS } from './constants';
+import { PROBATION_MS, STOP_POLL_PERIOD_MS, UNCONFIRMED_RUN_MS } from './constants';
+import { CrashHistory } from './CrashHistory';
 import { EntryConnections } from './EntryConnections';
+import { findSuspects } from './findSuspects';
 import { SlownessEstimate, findSlowRuns } from './SlownessEstimate';
 import { WorkerHealth } from './WorkerHealth';
 import { WorkerSession } from './WorkerSession';
@@ -63,6 +66,8 @@
 
   private readonly connections: EntryConnections;
 
+  private readonly crashHistory = CrashHistory.create();
+
   private slowness = SlownessEstimate.create();
 
   private isStopping = false;
@@ -203,12 +208,29 @@
 
   private handleCrash({ id, born }: WorkerIdentity, lostRuns: readonly LostRun[]): void {
     const { log, meter } = this.options;
+    const suspects = new Set(findSuspects(lostRuns));
     meter.crashed(lostRuns.length);
-    log.warn({ worker: id, born, runs: lostRuns.length }, 'worker_crashed');
-    lostRuns.forEach(({ run, ageMs }) => {
-      const task = taskKey(run.task);
-      log.warn({ task, run: run.run, ageMs: Math.round(ageMs) }, 'run_lost');
+    log.warn(
+      { worker: id, born, runs: lostRuns.length, suspects: suspects.size },
+      'worker_crashed',
+    );
+    lostRuns.forEach((lostRun) => {
+      const { run, ageMs } = lostRun;
+      const isSuspect = suspects.has(lostRun);
+      log.warn(
+        { task: taskKey(run.task), run: run.run, ageMs: Math.round(ageMs), suspect: isSuspect },
+        'run_lost',
+      );
     });
+    const crash: WorkerCrash = {
+      incarnation: `${id}@${born}`,
+      runs: lostRuns.map((lostRun) => {
+        const { task, route } = lostRun.run;
+        return [task.job, task.index, route, suspects.has(lostRun)];
+      }),
+    };
+    this.crashHistory.add(crash);
+    this.connections.sendCrash(crash);
   }
 
   /**
@@ -248,7 +270,14 @@
     this.applyRules(rules);
     this.options.log.info({ entry, revision: rules.revision }, 'entry_attached');
     const { name, dataCenter, clock } = this.options;
-    return { agent: name, dataCenter, rules: this.rules, view: this.view, clock: clock() };
+    return {
+      agent: name,
+      dataCenter,
+      rules: this.rules,
+      view: this.view,
+      crashes: this.crashHistory.recent,
+      clock: clock(),
+    };
   }
 
   private applyRules(rules: AdmissionRules): void {
@@ -297,21 +326,30 @@
       runsOfStep: session?.select(isOfStep).length ?? 0,
       isTaskRunning: runs.some(([index]) => this.isTaskRunning(assignment, index)),
       isOnTrial: this.health.state === 'trial',
+      isOnProbation: this.isOnProbation,
     };
   }
 
+  private get isOnProbation(): boolean {
+    const startedAfter = performance.now() - PROBATION_MS;
+    const isOnProbation = ({ isSuspect, admittedAt }: Run) =>
+      isSuspect && admittedAt > startedAfter;
+    return (this.session?.select(isOnProbation).length ?? 0) > 0;
+  }
+
   private isTaskRunning({ job, occurrence, step }: Assignment, index: number): boolean {
     return this.session?.find({ job, occurrence, step, index }) !== undefined;
   }
 
   private startRun(assignment: Assignment, index: number, run: number, link: Link): void {
-    const { job, occurrence, step, needs, estimateMs, bestSlowness, spec } = assignment;
+    const { job, occurrence, step, route, needs, estimateMs, bestSlowness, spec } = assignment;
     const now = performance.now();
     this.session?.startRun(
       {
         task: { job, occurrence, step, index },
         run,
         ownerId: this.connections.idOf(link),
+        route,
         needs,
         estimateMs,
         bestSlowness,
@@ -321,6 +359,7 @@
         percent: 0,
         lastProgressAt: now,
         wasListed: false,
+        isSuspect: assignment.isSuspect,
       },
       spec,
     );
--- a/packages/gate/src/WorkerSession.ts
+++ b/packages/gate/src/WorkerSession.ts
@@ -270,10 +270,10 @@
         else run.state = 'running';
       })
       .with({ type: 'refused' }, ({ reason, clock }) => {
-        this.recordContact(clock);
         this.host.log.warn({ task: taskKey(task), run: run.run, reason }, 'start_refused');
         if (reason === 'otherLife') this.host.onReplaced();
         else {
+          this.recordContact(clock);
           if (reason === 'unhealthy') this.host.onUnhealthy(run);
           this.removeRun(run, 'notRun');
         }
@@ -435,9 +435,9 @@
     match(answer)
       .with({ type: 'accepted' }, ({ clock }) => this.recordContact(clock))
       .with({ type: 'refused' }, ({ reason, clock }) => {
-        this.recordContact(clock);
         this.host.log.warn({ call: command, reason }, 'command_refused');
         if (reason === 'otherLife') this.host.onReplaced();
+        else this.recordContact(clock);
       })
       .with({ type: 'noAnswer' }, ({ detail, wasRefused }) =>
         this.recordUnanswered(command, detail, wasRefused),
--- a/packages/gate/src/admit.ts
+++ b/packages/gate/src/admit.ts
@@ -21,6 +21,8 @@
   isTaskRunning: boolean;
   /** The worker was ejected and since then gets one task at a time, until one succeeds. */
   isOnTrial: boolean;
+  /** The worker has just started a task that is suspected to have crashed another worker. */
+  isOnProbation: boolean;
 };
 
 /**
@@ -55,5 +57,6 @@
   if (state.service !== service) return { count: 0, reason: 'otherService' };
   if (label && !state.labels.includes(label)) return { count: 0, reason: 'missingLabel' };
   if (state.isTaskRunning) return { count: 0, reason: 'lowRun' };
+  if (state.isOnProbation) return { count: 0, reason: 'probation' };
   return admitByCapacity(assignment, state);
 };
--- a/packages/gate/src/constants.ts
+++ b/packages/gate/src/constants.ts
@@ -55,6 +55,18 @@
 /** Change of the number of fitting tasks from which an entry is told, if some fit before and after. */
 export const MIN_FITTING_TASKS_CHANGE = 2;
 
+/**
+ * Time after its admission in which a run that crashes its worker is expected to do so, in milliseconds.
+ * For this time a suspected run is the last one that its worker gets.
+ */
+export const PROBATION_MS = 100;
+
+/** Time for which an agent remembers a crash of its worker, in milliseconds. */
+export const CRASH_RETENTION_MS = 60_000;
+
+/** Largest number of crashes that an agent remembers. */
+export const MAX_REMEMBERED_CRASHES = 50;
+
 /** Period of the check whether the runs of a stopping agent have ended, in milliseconds. */
 export const STOP_POLL_PERIOD_MS = 100;
 
--- a/packages/gate/src/run.ts
+++ b/packages/gate/src/run.ts
@@ -7,6 +7,8 @@
   run: number;
   /** Identifies the entry connection that assigned the run. */
   ownerId: string;
+  /** Name of the job's route. */
+  route: string;
   needs: Resources;
   /** The client's estimate of the run time, in milliseconds. */
   estimateMs: number;
@@ -22,6 +24,8 @@
   lastProgressAt: number;
   /** True once the worker has listed the run as running. */
   wasListed: boolean;
+  /** A worker crashed just after it had started the task. */
+  isSuspect: boolean;
 };
 
 /** A run that was on a worker when it crashed. */
--- a/packages/gate/tests/SlownessEstimate.test.ts
+++ b/packages/gate/tests/SlownessEstimate.test.ts
@@ -14,6 +14,8 @@
   percent,
   lastProgressAt: 0,
   wasListed: true,
+  route: 'claims',
+  isSuspect: false,
 });
 
 const jobs = ['a', 'b', 'c', 'd'];
--- a/packages/gate/tests/WorkerSession.test.ts
+++ b/packages/gate/tests/WorkerSession.test.ts
@@ -51,6 +51,8 @@
   percent: 0,
   lastProgressAt: performance.now(),
   wasListed: false,
+  route: 'claims',
+  isSuspect: false,
 });
 
 /** Opens a session with a worker whose answers the test sets and whose commands it can inspect. */
--- a/packages/gate/tests/admit.test.ts
+++ b/packages/gate/tests/admit.test.ts
@@ -10,6 +10,8 @@
   occurrence: 0,
   step: 0,
   service: 'desk',
+  route: 'claims',
+  isSuspect: false,
   spec: '',
   needs,
   maxPerWorker: 0,
@@ -36,6 +38,7 @@
   runsOfStep: 0,
   isTaskRunning: false,
   isOnTrial: false,
+  isOnProbation: false,
 };
 
 describe('admit', () => {
@@ -49,6 +52,7 @@
     ['dataCenterOut', { isDataCenterOut: true }],
     ['otherService', { service: 'other' }],
     ['lowRun', { isTaskRunning: true }],
+    ['probation', { isOnProbation: true }],
   ] as const)('admits no runs for the reason %s', (reason, fields) => {
     expect(admit(assignment, { ...state, ...fields })).toEqual({ count: 0, reason });
   });
--- a/packages/gate/tests/findStalledRuns.test.ts
+++ b/packages/gate/tests/findStalledRuns.test.ts
@@ -16,6 +16,8 @@
   percent: 10,
   lastProgressAt,
   wasListed: true,
+  route: 'claims',
+  isSuspect: false,
 });
 
 describe('findStalledRuns', () => {
--- a/packages/protocol/src/dispatchMessages.ts
+++ b/packages/protocol/src/dispatchMessages.ts
@@ -31,6 +31,7 @@
 /**
  * Why an agent declined a task, which has then not run. `room`: too few free resources, or a worker
  * on trial already runs a task. `workerLimit`: the step already has its maximum of runs on this
+ * worker. `probation`: the worker has just started a task that is suspected to have crashed another
  * worker. `stale`: the assignment was too old on arrival. `lowRun`: a run of the task is still
  * active on this worker.
  */
@@ -41,6 +42,7 @@
   'otherService',
   'missingLabel',
   'workerLimit',
+  'probation',
   'stale',
   'lowRun',
 ]);
@@ -52,6 +54,17 @@
  */
 export const runEndSchema = z.enum(['done', 'failed', 'stopped', 'stalled', 'lapsed', 'notRun']);
 
+/** Crash of one incarnation of a worker. */
+export const workerCrashSchema = z.object({
+  /** Identifies the incarnation. */
+  incarnation: z.string(),
+  /**
+   * Tuples of job, task index and route of each run that the worker had, and whether the run is
+   * suspected to be the cause.
+   */
+  runs: z.array(z.tuple([z.string(), count, z.string(), z.boolean()])),
+});
+
 /** Routing rule: which requests it matches and how their jobs run. */
 export const routeSchema = z.object({
   name: z.string(),
@@ -110,6 +123,8 @@
       dataCenter: z.string(),
       rules: admissionRulesSchema,
       view: workerViewSchema,
+      /** Recent crashes of the agent's workers. */
+      crashes: z.array(workerCrashSchema).default([]),
       /** Reading of the agent's clock, which the entry sends back as `echo` of `assign`. */
       clock: z.number(),
     }),
@@ -121,6 +136,10 @@
       occurrence: count,
       step: count,
       service: z.string(),
+      /** Name of the job's route. */
+      route: z.string().default(''),
+      /** A worker crashed just after it had started one of the tasks. */
+      isSuspect: z.boolean().default(false),
       spec: z.string(),
       needs: resourcesSchema,
       label: z.string().optional(),
@@ -161,6 +180,8 @@
     }),
     result: z.object({}),
   },
+  /** Agent to entry: the worker has crashed. The ends of its runs follow once they are certain. */
+  crash: { params: workerCrashSchema, result: z.object({}) },
   /** Agent to entry: the worker's state or its free resources have changed. */
   view: { params: workerViewSchema, result: z.object({}) },
   /**
@@ -183,6 +204,8 @@
 export type DeclineReason = z.infer<typeof declineReasonSchema>;
 /** Inferred from {@link runEndSchema}. */
 export type RunEnd = z.infer<typeof runEndSchema>;
+/** Inferred from {@link workerCrashSchema}. */
+export type WorkerCrash = z.infer<typeof workerCrashSchema>;
 /** Inferred from {@link routeSchema}. */
 export type Route = z.infer<typeof routeSchema>;
 /** Inferred from {@link operatorStateSchema}. */
