A crash counts for a task only when its worker had started it

Cause: the count took every run that the agent had admitted before it noticed the crash. Ruled out: waiting for the next incarnation to tell (3 s, longer than most deadlines). Change: an agent says of each lost run whether the worker had confirmed its start. Two confirmed crashes just after the start, three confirmed at any time, or four runs lost in any way spend the budget. A start whose connection was refused was not sent: it is queued again at once instead of after the lease. Workers in memory crash some time after they have answered the start, or before. Why it works: what is counted is what the worker itself said.

--- a/packages/dispatch/src/CrashRecords.ts
+++ b/packages/dispatch/src/CrashRecords.ts
@@ -1,18 +1,28 @@
 import type { WorkerCrash } from '@marjorammast/protocol';
-import { CRASH_RETENTION_MS, MAX_CRASHES_PER_TASK, MAX_SUSPICIONS_PER_TASK } from './constants';
+import {
+  CRASH_RETENTION_MS,
+  MAX_CRASHES_PER_TASK,
+  MAX_LOST_RUNS_PER_TASK,
+  MAX_SUSPICIONS_PER_TASK,
+} from './constants';
 
-/** Incarnations of workers that crashed while they ran a task. */
-type TaskCrashes = {
-  all: Set<string>;
-  /** Those of which the task is suspected to be the cause. */
-  suspected: Set<string>;
-};
+type LostRun = WorkerCrash['runs'][number];
+
+/** Incarnations of workers that crashed under a task, each with the run that it had. */
+type TaskCrashes = Map<string, LostRun>;
 
 /** A task under which too many workers have crashed. */
 export type CrashingTask = { job: string; index: number; route: string };
 
-const isSpent = ({ all, suspected }: TaskCrashes): boolean =>
-  suspected.size >= MAX_SUSPICIONS_PER_TASK || all.size >= MAX_CRASHES_PER_TASK;
+const isSpent = (crashes: TaskCrashes): boolean => {
+  const started = [...crashes.values()].filter(({ wasStarted }) => wasStarted);
+  const suspicions = started.filter(({ isSuspect }) => isSuspect);
+  return (
+    suspicions.length >= MAX_SUSPICIONS_PER_TASK ||
+    started.length >= MAX_CRASHES_PER_TASK ||
+    crashes.size >= MAX_LOST_RUNS_PER_TASK
+  );
+};
 
 /**
  * Counts the crashes of workers under tasks, also under those of other entries: a job that is sent again
@@ -39,8 +49,8 @@
   record({ incarnation, runs }: WorkerCrash): CrashingTask[] {
     this.expire();
     return runs
-      .filter(([job, index, , isSuspect]) => this.add(incarnation, job, index, isSuspect))
-      .map(([job, index, route]) => ({ job, index, route }));
+      .filter((run) => this.add(incarnation, run))
+      .map(({ job, index, route }) => ({ job, index, route }));
   }
 
   /**
@@ -49,7 +59,8 @@
    * @returns true when a worker crashed just after it had started the task
    */
   isSuspect(job: string, index: number): boolean {
-    return (this.jobs.get(job)?.tasks.get(index)?.suspected.size ?? 0) > 0;
+    const crashes = this.jobs.get(job)?.tasks.get(index) ?? new Map<string, LostRun>();
+    return [...crashes.values()].some((run) => run.isSuspect);
   }
 
   /**
@@ -62,14 +73,14 @@
   }
 
   /** Returns true when this crash spends the budget of the task. */
-  private add(incarnation: string, job: string, index: number, isSuspect: boolean): boolean {
+  private add(incarnation: string, run: LostRun): boolean {
+    const { job, index } = run;
     const record = this.jobs.get(job) ?? { at: performance.now(), tasks: new Map() };
     this.jobs.set(job, record);
-    const crashes = record.tasks.get(index) ?? { all: new Set(), suspected: new Set() };
+    const crashes: TaskCrashes = record.tasks.get(index) ?? new Map<string, LostRun>();
     record.tasks.set(index, crashes);
     const wasSpent = isSpent(crashes);
-    crashes.all.add(incarnation);
-    if (isSuspect) crashes.suspected.add(incarnation);
+    if (!crashes.has(incarnation)) crashes.set(incarnation, run);
     return !wasSpent && isSpent(crashes);
   }
 
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -77,9 +77,21 @@
 /** Number of workers that crash at any time of a task's runs, from which it is not started again. */
 export const MAX_CRASHES_PER_TASK = 3;
 
+/**
+ * The same number, counting also crashes before the worker has confirmed the start of the task, so that
+ * it is uncertain whether the task was running.
+ */
+export const MAX_LOST_RUNS_PER_TASK = 4;
+
 /** Time for which crashes under the tasks of a job are remembered, in milliseconds. */
 export const CRASH_RETENTION_MS = 60_000;
 
+/** Time after the last crash by a task of a route for which the route is confined, in milliseconds. */
+export const CONFINEMENT_MS = 5_000;
+
+/** Part of the workers of its service on which a confined route runs. */
+export const CONFINED_SHARE = 1 / 4;
+
 /** Shortest time after which a refused client is told to retry, in milliseconds. */
 export const MIN_RETRY_AFTER_MS = 200;
 
--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -217,16 +217,24 @@
     lostRuns.forEach((lostRun) => {
       const { run, ageMs } = lostRun;
       const isSuspect = suspects.has(lostRun);
+      const { wasStarted: started } = run;
       log.warn(
-        { task: taskKey(run.task), run: run.run, ageMs: Math.round(ageMs), suspect: isSuspect },
+        {
+          task: taskKey(run.task),
+          run: run.run,
+          ageMs: Math.round(ageMs),
+          suspect: isSuspect,
+          started,
+        },
         'run_lost',
       );
     });
     const crash: WorkerCrash = {
       incarnation: `${id}@${born}`,
       runs: lostRuns.map((lostRun) => {
-        const { task, route } = lostRun.run;
-        return [task.job, task.index, route, suspects.has(lostRun)];
+        const { task, route, wasStarted } = lostRun.run;
+        const { job, index } = task;
+        return { job, index, route, isSuspect: suspects.has(lostRun), wasStarted };
       }),
     };
     this.crashHistory.add(crash);
@@ -358,6 +366,7 @@
         endIfStopped: 'stopped',
         percent: 0,
         lastProgressAt: now,
+        wasStarted: false,
         wasListed: false,
         isSuspect: assignment.isSuspect,
       },
--- a/packages/gate/src/WorkerSession.ts
+++ b/packages/gate/src/WorkerSession.ts
@@ -266,6 +266,7 @@
     match(answer)
       .with({ type: 'accepted' }, ({ clock }) => {
         this.recordContact(clock);
+        run.wasStarted = true;
         if (run.state === 'stopping') void this.stopUntilConfirmed(run);
         else run.state = 'running';
       })
@@ -279,9 +280,11 @@
         }
       })
       .with({ type: 'noAnswer' }, ({ detail, wasRefused }) => {
-        this.recordUnanswered('start', detail, wasRefused);
         this.host.log.warn({ task: taskKey(task), run: run.run, detail }, 'start_unanswered');
-        void this.stopUntilConfirmed(run);
+        // Without a connection the command was not sent.
+        if (wasRefused) this.removeRun(run, 'notRun');
+        this.recordUnanswered('start', detail, wasRefused);
+        if (!wasRefused) void this.stopUntilConfirmed(run);
       })
       .exhaustive();
   }
@@ -483,6 +486,7 @@
   private recordProgress({ task, run, percent }: ListedRun): boolean {
     const known = this.find(task);
     if (!known || known.run !== run) return false;
+    known.wasStarted = true;
     known.wasListed = true;
     if (known.state === 'starting') known.state = 'running';
     if (percent > known.percent) {
--- a/packages/gate/src/run.ts
+++ b/packages/gate/src/run.ts
@@ -22,6 +22,8 @@
   percent: number;
   /** Monotonic time at which `percent` last rose, in milliseconds. */
   lastProgressAt: number;
+  /** True once the worker has accepted the start of the run or listed the run. */
+  wasStarted: boolean;
   /** True once the worker has listed the run as running. */
   wasListed: boolean;
   /** A worker crashed just after it had started the task. */
--- a/packages/gate/tests/WorkerSession.test.ts
+++ b/packages/gate/tests/WorkerSession.test.ts
@@ -53,6 +53,7 @@
   wasListed: false,
   route: 'claims',
   isSuspect: false,
+  wasStarted: false,
 });
 
 /** Opens a session with a worker whose answers the test sets and whose commands it can inspect. */
@@ -135,6 +136,19 @@
     fixture.session.end();
   });
 
+  // Guards against putting a crash down to a task whose start the crashed worker never got.
+  it('queues a run again at once when its start was refused, and does not count it as lost', async () => {
+    const fixture = createFixture();
+    await advance(20);
+    fixture.startAnswer = { ...noAnswer, wasRefused: true };
+    fixture.session.startRun(createRun(0), '');
+    fixture.session.startRun(createRun(1), '');
+    await advance(2);
+    expect(fixture.ends).toEqual(['notRun', 'notRun']);
+    expect(fixture.host.onCrashed).toHaveBeenCalledWith([]);
+    fixture.session.end();
+  });
+
   it('is unavailable while the worker lists runs of an earlier agent process, and stops them', async () => {
     const fixture = createFixture();
     fixture.running = [{ task: createRun(3).task, run: 2, percent: 40 }];
--- a/packages/protocol/src/dispatchMessages.ts
+++ b/packages/protocol/src/dispatchMessages.ts
@@ -58,11 +58,18 @@
 export const workerCrashSchema = z.object({
   /** Identifies the incarnation. */
   incarnation: z.string(),
-  /**
-   * Tuples of job, task index and route of each run that the worker had, and whether the run is
-   * suspected to be the cause.
-   */
-  runs: z.array(z.tuple([z.string(), count, z.string(), z.boolean()])),
+  /** The runs that the worker had, or may have had. */
+  runs: z.array(
+    z.object({
+      job: z.string(),
+      index: count,
+      route: z.string(),
+      /** The run had just been started, so that it may be the cause. */
+      isSuspect: z.boolean(),
+      /** The worker has accepted or listed the run; otherwise it may not have started. */
+      wasStarted: z.boolean(),
+    }),
+  ),
 });
 
 /** Routing rule: which requests it matches and how their jobs run. */
