Confine a route whose tasks crash workers to a quarter of them

Cause: no bulkhead. Each job of that kind is new, so that a budget for each task cannot prevent its first crashes. Ruled out: more waiting before a suspected task is started again (it saves the second crash, not the first). Change: RouteConfinement; once the budget of one of its tasks is spent, a route gets a quarter of its service's workers, the same ones at every entry by a hash of its name, until 5 s after its last suspected crash. Other routes use these workers only when there is no room elsewhere. createRoomFinder decides it for a pass; the estimate of the wait is kept apart for a confined route. Why it works: the number of workers that one route can have down is bounded whatever its jobs do.

--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -26,6 +26,7 @@
 import { unsupportedFeature } from './job';
 import type { JobOutcome, JobRequest } from './job';
 import { PeerClient } from './PeerClient';
+import { RouteConfinement } from './RouteConfinement';
 
 /** Receives the measurements of an entry. `ms` is the time to answer a job, in milliseconds. */
 export type EntryMeter = { answered: (route: string, outcome: string, ms: number) => void };
@@ -91,6 +92,8 @@
 
   private readonly crashRecords = CrashRecords.create();
 
+  private readonly confinement = RouteConfinement.create();
+
   /** Highest store revision of the operator state that another process has reported. */
   private newestKnownRevision = 0;
 
@@ -107,6 +110,7 @@
       findConnection: (agent) => this.connections.get(agent),
       evacuatedDataCenters: () => this.rules.outDataCenters,
       crashRecords: this.crashRecords,
+      confinement: this.confinement,
       random: options.random,
       log: options.log,
     });
@@ -372,7 +376,18 @@
       const active = this.jobs.get(job);
       this.options.log.warn({ job, index, route, own: active !== undefined }, 'task_given_up');
       active?.job.settle(createCrashFailure(index));
+      this.confine(route);
     });
+    crash.runs
+      .filter(({ route, isSuspect }) => isSuspect && this.confinement.isConfined(route))
+      .forEach(({ route }) => this.confine(route));
+  }
+
+  private confine(name: string): void {
+    const route = this.operatorState?.routes.find((other) => other.name === name);
+    if (route && this.confinement.confine(route)) {
+      this.options.log.warn({ route: name, service: route.service }, 'route_confined');
+    }
   }
 
   private async runJob({
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -1,6 +1,6 @@
 import { match } from 'ts-pattern';
 import { CallError } from '@marjorammast/protocol';
-import type { Params, RunEnd } from '@marjorammast/protocol';
+import type { Params, Route, RunEnd } from '@marjorammast/protocol';
 import type { Log } from '@marjorammast/telemetry';
 import type { ActiveJob } from './ActiveJob';
 import type { AgentConnection, Assignment } from './AgentConnection';
@@ -12,6 +12,7 @@
   RUN_EXPIRY_MS,
 } from './constants';
 import type { CrashRecords } from './CrashRecords';
+import { createRoomFinder } from './createRoomFinder';
 import { findRefusal } from './findRefusal';
 import type { Refusal } from './findRefusal';
 import { groupWaitingTasks } from './groupWaitingTasks';
@@ -20,6 +21,7 @@
 import { placeTasks } from './placeTasks';
 import type { Placement } from './placeTasks';
 import { QueueEstimate, workOf } from './QueueEstimate';
+import type { RouteConfinement } from './RouteConfinement';
 import { sortWaitingJobs } from './sortWaitingJobs';
 import { WorkerRooms } from './WorkerRooms';
 
@@ -32,6 +34,8 @@
   evacuatedDataCenters: () => readonly string[];
   /** Crashes of workers under tasks, which the entry records. */
   crashRecords: CrashRecords;
+  /** Routes that are confined to a part of the workers. */
+  confinement: RouteConfinement;
   /** Uniform random numbers in [0, 1). */
   random: () => number;
   log: Log;
@@ -166,24 +170,20 @@
     if (this.queue.size === 0) return;
     this.passTimer = setTimeout(() => this.schedulePass(), MAX_DISPATCH_PASS_INTERVAL_MS);
     const now = performance.now();
-    const roomsByService = new Map<string, WorkerRooms>();
-    const roomsOf = (service: string): WorkerRooms => {
-      const rooms = roomsByService.get(service) ?? this.findRooms(service, now);
-      roomsByService.set(service, rooms);
-      return rooms;
-    };
-    const jobs = sortWaitingJobs(this.queue, (service) => roomsOf(service).bestSlowness, now);
+    const { confinement } = this.host;
+    const roomsOf = createRoomFinder((service) => this.findRooms(service, now), confinement);
+    const jobs = sortWaitingJobs(this.queue, (route) => roomsOf(route).bestSlowness, now);
     const loads = new Map<QueueEstimate, PassLoad>();
     jobs.forEach(({ job, isLate }) => {
-      const { service } = job.route;
-      const estimate = this.estimateOf(service, isLate);
-      const { hasWorkers } = roomsOf(service);
+      const rooms = roomsOf(job.route);
+      const { hasWorkers } = rooms;
+      const estimate = this.estimateOf(job.route, isLate);
       const load = loads.get(estimate) ?? { placedWork: 0, waitingWork: 0, hasWorkers };
       loads.set(estimate, load);
-      this.placeJob(job, roomsOf(service), load);
+      this.placeJob(job, rooms, load);
       const waitingWork = workOf(job.step, job.waitingTasks.length);
       const estimatedWaitMs = estimate.waitMsFor(load.waitingWork, waitingWork);
-      this.refuseIfHopeless(job, roomsOf(service), estimatedWaitMs);
+      this.refuseIfHopeless(job, rooms, estimatedWaitMs);
       if (job.isOpen) load.waitingWork += waitingWork;
     });
     loads.forEach(({ placedWork, waitingWork, hasWorkers }, estimate) => {
@@ -200,9 +200,13 @@
     return WorkerRooms.create(this.host.connections(), service, filter);
   }
 
-  /** Jobs that are late wait for others, so their rate is estimated by itself. */
-  private estimateOf(service: string, isLate: boolean): QueueEstimate {
-    const key = `${service} ${isLate}`;
+  /**
+   * Jobs that are late wait for others, and those of a confined route for its workers, so their rates are
+   * estimated by themselves.
+   */
+  private estimateOf({ name, service }: Route, isLate: boolean): QueueEstimate {
+    const confinedRoute = this.host.confinement.isConfined(name) ? name : '';
+    const key = `${service} ${isLate} ${confinedRoute}`;
     const estimate = this.estimates.get(key) ?? QueueEstimate.create();
     this.estimates.set(key, estimate);
     return estimate;
--- a/packages/dispatch/src/WorkerRooms.ts
+++ b/packages/dispatch/src/WorkerRooms.ts
@@ -29,13 +29,17 @@
 export class WorkerRooms {
   private constructor(
     private readonly rooms: readonly Room[],
+    /** Names of all agents of the service, also of those whose workers are closed. */
+    readonly agents: readonly string[],
+    /** Names of the agents whose workers are not closed. */
+    private readonly openAgents: readonly string[],
     /**
      * Slowness of the service's fast workers: the first quartile over its open workers, so that one
      * outlier does not decide.
      */
     readonly bestSlowness: number,
-    /** True when the service has a worker that is not closed. */
-    readonly hasWorkers: boolean,
+    /** Names of agents that are used only when there are no others. */
+    private readonly avoidedAgents: ReadonlySet<string> = new Set(),
   ) {}
 
   /**
@@ -51,21 +55,56 @@
   ): WorkerRooms {
     const ofService = [...connections].flatMap((connection) => {
       const { view, agent } = connection;
-      if (!view || view.service !== service || view.state === 'closed') return [];
+      if (!view || view.service !== service) return [];
       return [{ connection, view, isLocal: agent.dataCenter === dataCenter }];
     });
-    const slownessValues = ofService
+    const notClosed = ofService.filter(({ view }) => view.state !== 'closed');
+    const slownessValues = notClosed
       .filter(({ view }) => view.state === 'open')
       .map(({ view }) => view.slowness)
       .sort((a, b) => a - b);
-    const rooms = ofService
+    const rooms = notClosed
       .filter(
         ({ connection: { agent, pausedUntil } }) =>
           now >= pausedUntil && !evacuatedDataCenters.includes(agent.dataCenter),
       )
       .map((room) => ({ ...room, free: room.connection.free }));
     const bestSlowness = slownessValues[Math.floor(slownessValues.length / 4)] ?? 1;
-    return new WorkerRooms(rooms, bestSlowness, ofService.length > 0);
+    const namesOf = (list: typeof ofService) => list.map(({ connection }) => connection.name);
+    return new WorkerRooms(rooms, namesOf(ofService), namesOf(notClosed), bestSlowness);
+  }
+
+  /** True when one of the workers is not closed. */
+  get hasWorkers(): boolean {
+    return this.openAgents.length > 0;
+  }
+
+  /**
+   * @param agents - names of agents
+   * @returns the rooms of these agents alone
+   */
+  restrictTo(agents: readonly string[]): WorkerRooms {
+    const allowed = new Set(agents);
+    return new WorkerRooms(
+      this.rooms.filter(({ connection }) => allowed.has(connection.name)),
+      agents,
+      this.openAgents.filter((agent) => allowed.has(agent)),
+      this.bestSlowness,
+    );
+  }
+
+  /**
+   * @param agents - names of agents
+   * @returns the same rooms, of which those of these agents are used only when there are no others
+   */
+  avoid(agents: readonly string[]): WorkerRooms {
+    return new WorkerRooms(
+      this.rooms,
+      this.agents,
+      this.openAgents,
+      this.bestSlowness,
+      new Set(agents),
+    );
   }
 
   /**
@@ -85,7 +124,9 @@
       ({ free, view }) =>
         fits(step.needs, free) && (!step.label || view.labels.includes(step.label)),
     );
-    const preferred = usable.filter(({ connection }) => !avoidedAgents.has(connection.name));
+    const preferred = usable.filter(
+      ({ connection: { name } }) => !avoidedAgents.has(name) && !this.avoidedAgents.has(name),
+    );
     return (preferred.length > 0 ? preferred : usable).map((room) =>
       this.toCandidate(room, step, reservedTasks),
     );
--- a/packages/dispatch/src/sortWaitingJobs.ts
+++ b/packages/dispatch/src/sortWaitingJobs.ts
@@ -1,3 +1,4 @@
+import type { Route } from '@marjorammast/protocol';
 import type { ActiveJob } from './ActiveJob';
 
 /** A waiting job, and whether it misses its latency objective even on a fast worker. */
@@ -9,19 +10,19 @@
  * work on jobs that are late anyway would make others late too.
  *
  * @param jobs - the waiting jobs
- * @param bestSlownessOf - returns the slowness of a service's fast workers
+ * @param bestSlownessOf - returns the slowness of the fast workers of a route's service
  * @param now - monotonic time, in milliseconds
  * @returns the jobs in the order in which they are placed
  */
 export const sortWaitingJobs = (
   jobs: Iterable<ActiveJob>,
-  bestSlownessOf: (service: string) => number,
+  bestSlownessOf: (route: Route) => number,
   now: number,
 ): QueuedJob[] =>
   [...jobs]
     .map((job) => {
       const { objectiveAt, route, step } = job;
-      const endsAt = now + step.estimateMs * bestSlownessOf(route.service);
+      const endsAt = now + step.estimateMs * bestSlownessOf(route);
       return { job, objectiveAt, isLate: endsAt > objectiveAt };
     })
     .sort(
--- a/packages/dispatch/tests/Dispatcher.test.ts
+++ b/packages/dispatch/tests/Dispatcher.test.ts
@@ -3,6 +3,7 @@
 import type { WorkerView } from '@marjorammast/protocol';
 import type { AgentConnection, Assignment } from '../src/AgentConnection';
 import { CrashRecords } from '../src/CrashRecords';
+import { RouteConfinement } from '../src/RouteConfinement';
 import { MAX_DISPATCH_PASS_INTERVAL_MS } from '../src/constants';
 import { Dispatcher } from '../src/Dispatcher';
 import { createTestJob } from './support';
@@ -44,6 +45,7 @@
     findConnection: (name) => agents.find((agent) => agent.name === name),
     evacuatedDataCenters: () => [],
     crashRecords: CrashRecords.create(),
+    confinement: RouteConfinement.create(),
     random: () => 0,
     log: createLog('dispatcher', 'silent'),
   });
--- a/packages/dispatch/tests/crowd.test.ts
+++ b/packages/dispatch/tests/crowd.test.ts
@@ -1,6 +1,7 @@
 import { createLog } from '@marjorammast/telemetry';
 import type { Resources, WorkerView } from '@marjorammast/protocol';
 import { CrashRecords } from '../src/CrashRecords';
+import { RouteConfinement } from '../src/RouteConfinement';
 import { ActiveJob } from '../src/ActiveJob';
 import type { AgentConnection, Assignment } from '../src/AgentConnection';
 import { MAX_LATENESS_FACTOR } from '../src/constants';
@@ -68,6 +69,7 @@
     findConnection: () => connection,
     evacuatedDataCenters: () => [],
     crashRecords: CrashRecords.create(),
+    confinement: RouteConfinement.create(),
     random: () => 0,
     log: createLog('dispatcher', 'silent'),
   });
--- a/packages/proofs/tests/support/DispatchSimulation.ts
+++ b/packages/proofs/tests/support/DispatchSimulation.ts
@@ -4,7 +4,7 @@
 import type { JobOutcome } from '@marjorammast/dispatch';
 import { GateAgent } from '@marjorammast/gate';
 import { sleep } from '@marjorammast/protocol';
-import type { OperatorState } from '@marjorammast/protocol';
+import type { OperatorState, Route } from '@marjorammast/protocol';
 import { createLog } from '@marjorammast/telemetry';
 import { MemoryWorker } from './MemoryWorker';
 import type { ObservedRun, TaskSpec } from './MemoryWorker';
@@ -22,8 +22,31 @@
 /** Time that a client waits for an answer, in milliseconds. */
 const CLIENT_DEADLINE_MS = 5_000;
 
+/** Number of failed runs of one task after which its job fails. */
+const MAX_FAILED_RUNS = 2;
+
+const createRoute = (name: string): Route => ({
+  name,
+  host: 'h.example',
+  prefix: `/${name}/`,
+  service: 'desk',
+  timeoutMs: CLIENT_DEADLINE_MS,
+  targetLatencyMs: 60,
+  stretch: 1.6,
+  priority: 0,
+  attempts: MAX_FAILED_RUNS,
+  needsAdvice: false,
+});
+
 /** A job as one client sends it, with the number of its tasks. */
-export type SentJob = { id: string; tasks: number; spec: TaskSpec; estimateMs: number };
+export type SentJob = {
+  id: string;
+  /** Name of the route; `claims` if absent. */
+  route?: string;
+  tasks: number;
+  spec: TaskSpec;
+  estimateMs: number;
+};
 
 /** An answer that a client received, with the entry that gave it and the monotonic time. */
 export type ObservedAnswer = { job: SentJob; entry: string; outcome: JobOutcome; at: number };
@@ -31,9 +54,6 @@
 /** One process of an entry or of an agent; a restart creates another one. */
 type SimulatedProcess<T> = { name: string; node: T; isAlive: boolean };
 
-/** Number of failed runs of one task after which its job fails. */
-const MAX_FAILED_RUNS = 2;
-
 /** Number of workers that have to crash under a task before its job may be answered as failed. */
 const MIN_CRASHES = 2;
 
@@ -73,20 +93,7 @@
     revision: 10,
     version: 3,
     outDataCenters: [],
-    routes: [
-      {
-        name: 'claims',
-        host: 'h.example',
-        prefix: '/claims/',
-        service: 'desk',
-        timeoutMs: CLIENT_DEADLINE_MS,
-        targetLatencyMs: 60,
-        stretch: 1.6,
-        priority: 0,
-        attempts: MAX_FAILED_RUNS,
-        needsAdvice: false,
-      },
-    ],
+    routes: ['claims', 'lookups'].map(createRoute),
   };
 
   /** Number of clients that have not finished. */
@@ -269,7 +276,7 @@
     giveUpMs: number | undefined,
   ): Promise<JobOutcome | undefined> {
     if (!entry?.isAlive) return undefined;
-    const route = entry.node.findRoute('h.example', `/claims/${job.id}`);
+    const route = entry.node.findRoute('h.example', `/${job.route ?? 'claims'}/${job.id}`);
     if (!route) return undefined;
     const client = new AbortController();
     const isConnectionLost = () => client.signal.aborted || !entry.isAlive;
--- a/packages/proofs/tests/support/dispatchSchedule.ts
+++ b/packages/proofs/tests/support/dispatchSchedule.ts
@@ -42,6 +42,8 @@
   atMs: number;
   /** Index of the entry that the client calls first. */
   entry: number;
+  /** Name of the route; `claims` if absent. */
+  route?: string;
   /** Number of tasks. */
   tasks: number;
   /** Run time of each task, in milliseconds. */
@@ -52,6 +54,8 @@
   fails: boolean;
   /** Index of the task that crashes each worker that starts it, if there is one. */
   crashingTask?: number;
+  /** Time from its start to the crash, in milliseconds. */
+  crashAfterMs?: number;
   /** Time after which the client gives up its first call, in milliseconds, if it does. */
   giveUpMs: number | undefined;
   /** True when a client that has given up its first call sends the job again. */
@@ -181,12 +185,28 @@
     setTimeout(() => applyFault(simulation, fault, false), fault.atMs + fault.forMs);
   });
   schedule.jobs.forEach(
-    ({ atMs, entry, tasks, runMs, cpu, fails, crashingTask, giveUpMs, sendsAgain }, index) => {
+    (
+      {
+        atMs,
+        entry,
+        route,
+        tasks,
+        runMs,
+        cpu,
+        fails,
+        crashingTask,
+        crashAfterMs,
+        giveUpMs,
+        sendsAgain,
+      },
+      index,
+    ) => {
       const id = (index + 1).toString(16).padStart(16, '0');
       const job = {
         id,
+        route,
         tasks,
-        spec: { runMs, cpu, fails: fails && index % 5 === 0, crashingTask },
+        spec: { runMs, cpu, fails: fails && index % 5 === 0, crashingTask, crashAfterMs },
         estimateMs: runMs,
       };
       setTimeout(() => void simulation.send(job, entry, giveUpMs, sendsAgain), atMs);
--- a/packages/proofs/tests/workerCrashes.test.ts
+++ b/packages/proofs/tests/workerCrashes.test.ts
@@ -12,6 +12,7 @@
   runMs: 150,
   cpu: 500,
   fails: false,
+  crashAfterMs: 10,
   giveUpMs: undefined,
   sendsAgain: false,
   ...fields,
@@ -58,6 +59,14 @@
     },
   );
 
+  it('are given up after four crashes when the workers crash before they answer', async () => {
+    const jobs = [createJob({ crashingTask: 0, crashAfterMs: 0 })];
+    const simulation = await runDispatchSchedule({ seed: 3, faults: [], jobs }, AGENTS);
+    expect(checkDispatchGuarantees(simulation)).toEqual([]);
+    expect(simulation.answers.map(({ outcome }) => outcome.type)).toEqual(['failed']);
+    expect(countCrashes(simulation, CRASHING_JOB)).toBe(4);
+  });
+
   it('do not fail the jobs that shared a worker with them', async () => {
     const crashing = createJob({ atMs: 500, crashingTask: 0 });
     const others = Array.from({ length: 30 }, (_, index) =>
@@ -71,4 +80,24 @@
       .map(({ outcome }) => outcome.type);
     expect(outcomes).toEqual(Array(others.length).fill('completed'));
   });
+
+  // The load: every third job of one route has a task that crashes its worker, while another route sends
+  // twice as many jobs.
+  it('leave room for the jobs of other routes', async () => {
+    const claims = Array.from({ length: 40 }, (_, index) =>
+      createJob({ atMs: index * 100, crashingTask: index % 3 === 0 ? 0 : undefined }),
+    );
+    const lookups = Array.from({ length: 80 }, (_, index) =>
+      createJob({ atMs: index * 50, entry: 1, route: 'lookups', tasks: 2, runMs: 300 }),
+    );
+    const jobs = [...claims, ...lookups];
+    const simulation = await runDispatchSchedule({ seed: 3, faults: [], jobs }, 12);
+    expect(checkDispatchGuarantees(simulation)).toEqual([]);
+    const outcomes = simulation.answers
+      .filter(({ job }) => job.route === 'lookups')
+      .map(({ outcome }) => outcome.type);
+    const completed = outcomes.filter((type) => type === 'completed');
+    expect(completed.length / lookups.length).toBeGreaterThanOrEqual(0.9);
+    expect(new Set(outcomes)).not.toContain('failed');
+  });
 });
