Free resources of a worker never go below zero

Callers saw: a job whose tasks had ended was answered as unfinished at its deadline, and its tasks ran once more when the client sent it again. The free resources were then negative, which the schema of the messages does not allow, and the entry dropped the whole message with the ends of the runs in it. Evidence: capacityChanges.test.ts failed before: of 4 jobs one was answered unfinished 4.6 s after its tasks had ended, and both of its tasks ran twice. Ruled out: negative amounts in the messages; nothing that reads them would do anything else than with zero. Change: withoutDeficits in WorkerSession.free; workers in memory can shrink and grow.

--- a/packages/gate/src/WorkerSession.ts
+++ b/packages/gate/src/WorkerSession.ts
@@ -5,6 +5,7 @@
   sleep,
   subtractResources,
   taskKey,
+  withoutDeficits,
 } from '@marjorammast/protocol';
 import type { Resources, RunEnd, TaskId } from '@marjorammast/protocol';
 import type { Log } from '@marjorammast/telemetry';
@@ -151,13 +152,13 @@
     return '';
   }
 
-  /** Resources that no run occupies. */
+  /** Resources that no run occupies; none when the capacity has shrunk below what the runs occupy. */
   get free(): Resources {
     const used = [...this.runs.values()].reduce(
       (sum, { needs }) => addResources(sum, needs),
       NO_RESOURCES,
     );
-    return subtractResources(this.report.capacity, used);
+    return withoutDeficits(subtractResources(this.report.capacity, used));
   }
 
   /**
--- /dev/null
+++ b/packages/proofs/tests/capacityChanges.test.ts
@@ -0,0 +1,42 @@
+import { checkDispatchGuarantees } from './support/DispatchSimulation';
+import { runDispatchSchedule } from './support/dispatchSchedule';
+import type { PlannedDispatchFault, PlannedDispatchJob } from './support/dispatchSchedule';
+
+const createJob = (atMs: number, runMs: number): PlannedDispatchJob => ({
+  atMs,
+  entry: 0,
+  tasks: 2,
+  runMs,
+  cpu: 700,
+  fails: false,
+  giveUpMs: undefined,
+  sendsAgain: false,
+});
+
+const shrink: PlannedDispatchFault = { type: 'shrink', atMs: 300, forMs: 1_500, node: 0, other: 0 };
+
+describe('a worker whose capacity shrinks below what its runs use', () => {
+  beforeEach(() => {
+    jest.useFakeTimers({ now: 1_800_000_000_000 });
+  });
+
+  afterEach(() => {
+    jest.useRealTimers();
+  });
+
+  // Guards against free resources below zero, for which entries dropped the ends in the same message.
+  it('ends its runs as usual and gets new ones only within its capacity', async () => {
+    const jobs = [
+      createJob(0, 400),
+      createJob(0, 1_200),
+      createJob(100, 400),
+      createJob(2_000, 400),
+    ];
+    const simulation = await runDispatchSchedule({ seed: 5, faults: [shrink], jobs }, 1);
+    expect(checkDispatchGuarantees(simulation)).toEqual([]);
+    const outcomes = simulation.answers.map(({ outcome }) => outcome.type);
+    expect(outcomes).toEqual(jobs.map(() => 'completed'));
+    expect(simulation.runs).toHaveLength(jobs.length * 2);
+    expect(simulation.runs.filter(({ how }) => how !== 'done')).toEqual([]);
+  });
+});
--- a/packages/proofs/tests/support/MemoryWorker.ts
+++ b/packages/proofs/tests/support/MemoryWorker.ts
@@ -133,7 +133,8 @@
   private constructor(
     readonly id: string,
     private readonly dataCenter: string,
-    readonly capacity: Resources,
+    /** Capacity, which may change while the worker runs; its reports say so. */
+    public capacity: Resources,
     private readonly observedRuns: ObservedRun[],
     private readonly overloads: string[],
   ) {}
--- a/packages/proofs/tests/support/dispatchSchedule.ts
+++ b/packages/proofs/tests/support/dispatchSchedule.ts
@@ -24,6 +24,8 @@
     | 'reborn'
     /** The worker reports that it leaves, and restarts at the end of the fault. */
     | 'leaves'
+    /** The capacity of the worker shrinks to a third. */
+    | 'shrink'
     /** Operators take the data centre of the worker out. */
     | 'takeOut';
   /** Time of the fault after the start of the schedule, in milliseconds. */
@@ -162,6 +164,12 @@
       if (worker && isOn) worker.isLeaving = true;
       else worker?.restart();
     },
+    shrink: () => {
+      if (!worker) return;
+      const { capacity } = worker;
+      worker.capacity = { ...capacity, cpu: isOn ? capacity.cpu / 3 : capacity.cpu * 3 };
+      simulation.reportNow(node);
+    },
     takeOut: () => simulation.takeOut(isOn ? [dataCenter] : []),
   };
   actions[type]();
--- a/packages/protocol/src/resources.ts
+++ b/packages/protocol/src/resources.ts
@@ -25,6 +25,16 @@
   accelerators: a.accelerators - b.accelerators,
 });
 
+/**
+ * @param resources - amounts of which some may be negative
+ * @returns the same amounts, with zero in place of each negative one
+ */
+export const withoutDeficits = ({ cpu, memoryMb, accelerators }: Resources): Resources => ({
+  cpu: Math.max(0, cpu),
+  memoryMb: Math.max(0, memoryMb),
+  accelerators: Math.max(0, accelerators),
+});
+
 /**
  * @param needs - resources that a task needs
  * @param free - free resources
