Run numbers stay exact integers however often a run does not start

Callers would see: answers lost at one agent after another. Cause: after 53 refusals the number is no exact integer, the agent rejects the whole assignment, and the entry closes its connection to that agent, which ends the entry's other runs there. Change: the number is doubled up to 2^30 and rises by one after that. Figures: 200 refusals in a row, exact and rising.

--- a/packages/dispatch/src/ActiveJob.ts
+++ b/packages/dispatch/src/ActiveJob.ts
@@ -1,4 +1,5 @@
 import type { Route } from '@marjorammast/protocol';
+import { MAX_DOUBLED_RUN } from './constants';
 import type { JobOutcome, JobRequest, Step } from './job';
 
 /** State of one task of an active job. */
@@ -142,13 +143,14 @@
 
   /**
    * Doubles a task's run number, to raise it above the numbers that a worker may have seen from
-   * another entry: a worker refuses a run unless its number is higher.
+   * another entry: a worker refuses a run unless its number is higher. Above a limit the number rises by
+   * one, so that it stays an exact integer.
    *
    * @param index - index of the task
    */
   raiseRunNumber(index: number): void {
     const task = this.tasks[index];
-    if (task) task.run *= 2;
+    if (task && task.run < MAX_DOUBLED_RUN) task.run *= 2;
   }
 
   /**
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -107,5 +107,8 @@
 /** Part of the time to its objective for which a job waits for a service without workers. */
 export const NO_WORKERS_WAIT_SHARE = 1 / 4;
 
+/** Run number up to which it is doubled after a run that did not start. */
+export const MAX_DOUBLED_RUN = 2 ** 30;
+
 /** Time after which a client is told to retry when the service has no workers, in milliseconds. */
 export const NO_WORKERS_RETRY_AFTER_MS = 1_000;
--- a/packages/dispatch/tests/ActiveJob.test.ts
+++ b/packages/dispatch/tests/ActiveJob.test.ts
@@ -12,4 +12,16 @@
     job.requeue(1);
     expect(job.isCommitted).toBe(false);
   });
+
+  // Guards against a number that is no exact integer any more and that no agent accepts.
+  it('keeps run numbers exact however often a run does not start', () => {
+    const job = createTestJob(1, 100);
+    for (let attempt = 0; attempt < 200; attempt += 1) {
+      const run = job.assign(0, 'agent');
+      expect(Number.isSafeInteger(run)).toBe(true);
+      job.raiseRunNumber(0);
+      job.requeue(0);
+      expect(job.assign(0, 'agent')).toBeGreaterThan(run);
+    }
+  });
 });
