A worker that refuses a start for lack of room gets none until it has room

Callers would see: a job that spins until its deadline, and processor time of entry, agent and worker spent on it. Cause: a worker whose capacity shrinks refuses starts before its agent has heard of it with the next report. The agent still counted the room as free, and the entry placed the refused tasks there again at once. Ruled out: a pause after each refusal at the entry, which would slow tasks that another worker can take. Change: WorkerSession says that nothing is free from the refusal until the next report or the next end of a run. Figures: at most 4 refused starts in that test.

--- a/packages/gate/src/WorkerSession.ts
+++ b/packages/gate/src/WorkerSession.ts
@@ -86,6 +86,9 @@
 
   private isCrashReported = false;
 
+  /** The worker has refused a start for lack of room since its last report and the last end of a run. */
+  private isFull = false;
+
   /**
    * True while the latest list shows only runs known to this session. Unknown runs occupy an unknown
    * amount of resources, so nothing is started until they have ended.
@@ -152,8 +155,12 @@
     return '';
   }
 
-  /** Resources that no run occupies; none when the capacity has shrunk below what the runs occupy. */
+  /**
+   * Resources that no run occupies; none when the capacity has shrunk below what the runs occupy, which
+   * a worker that refuses starts may know before it reports it.
+   */
   get free(): Resources {
+    if (this.isFull) return NO_RESOURCES;
     const used = [...this.runs.values()].reduce(
       (sum, { needs }) => addResources(sum, needs),
       NO_RESOURCES,
@@ -169,6 +176,7 @@
   update(report: WorkerReport): void {
     if (report.sequence <= this.report.sequence) return;
     this.report = report;
+    this.isFull = false;
     this.host.onChanged();
   }
 
@@ -277,6 +285,7 @@
         else {
           this.recordContact(clock);
           if (reason === 'unhealthy') this.host.onUnhealthy(run);
+          this.isFull ||= reason === 'room';
           this.removeRun(run, 'notRun');
         }
       })
@@ -461,6 +470,7 @@
   private recordEnd(number: number, task: TaskId, run: number, how: ListedRunEnd): void {
     if (number <= this.lastEndNumber) return;
     this.lastEndNumber = number;
+    this.isFull = false;
     const known = this.find(task);
     if (!known || known.run !== run) return;
     this.removeRun(known, how === 'stopped' ? known.endIfStopped : how);
--- a/packages/proofs/tests/capacityChanges.test.ts
+++ b/packages/proofs/tests/capacityChanges.test.ts
@@ -39,4 +39,15 @@
     expect(simulation.runs).toHaveLength(jobs.length * 2);
     expect(simulation.runs.filter(({ how }) => how !== 'done')).toEqual([]);
   });
+
+  // Guards against starts that are repeated at once while the worker refuses them, each with twice the run
+  // number, until the number is too high for a message and the agent's connection is closed.
+  it('is not sent starts over and over while its agent has not heard of it', async () => {
+    const jobs = [createJob(0, 3_000), createJob(320, 400)];
+    const fault: PlannedDispatchFault = { ...shrink, type: 'shrinkUnseen', forMs: 450 };
+    const simulation = await runDispatchSchedule({ seed: 5, faults: [fault], jobs }, 1);
+    expect(checkDispatchGuarantees(simulation)).toEqual([]);
+    expect(simulation.workers[0]?.rejectedStarts).toBeLessThanOrEqual(4);
+    expect(simulation.runs.filter(({ how }) => how !== 'done')).toEqual([]);
+  });
 });
--- a/packages/proofs/tests/support/MemoryWorker.ts
+++ b/packages/proofs/tests/support/MemoryWorker.ts
@@ -92,6 +92,12 @@
   /** Rate of the worker's clock; 0.98 is the slowest rate that the platform allows. */
   clockRate = 1;
 
+  /** True when the worker refuses starts that exceed its capacity. */
+  rejectsOverload = false;
+
+  /** Number of starts that it has refused because they exceed its capacity. */
+  rejectedStarts = 0;
+
   /** True when the worker reports that it leaves. */
   isLeaving = false;
 
@@ -134,7 +140,7 @@
     readonly id: string,
     private readonly dataCenter: string,
     /** Capacity, which may change while the worker runs; its reports say so. */
-    public capacity: Resources,
+    private capacity: Resources,
     private readonly observedRuns: ObservedRun[],
     private readonly overloads: string[],
   ) {}
@@ -179,6 +185,15 @@
     };
   }
 
+  /**
+   * Changes the capacity while the worker runs.
+   *
+   * @param factor - factor by which its processors change
+   */
+  scaleCapacity(factor: number): void {
+    this.capacity = { ...this.capacity, cpu: this.capacity.cpu * factor };
+  }
+
   /** Crashes the worker and starts it again under the same name, without runs. */
   restart(): void {
     this.endAllRuns('crashed');
@@ -283,6 +298,11 @@
       return { type: 'refused', reason: 'lowRun', clock };
     }
     const { runMs, cpu, fails, crashingTask, crashAfterMs = 0 } = JSON.parse(spec) as TaskSpec;
+    const usedBefore = [...this.activeRuns.values()].reduce((sum, other) => sum + other.cpu, 0);
+    if (this.rejectsOverload && usedBefore + cpu > this.capacity.cpu) {
+      this.rejectedStarts += 1;
+      return { type: 'refused', reason: 'room', clock };
+    }
     const activeRun: ActiveRun = {
       taskId,
       task,
@@ -298,9 +318,8 @@
     };
     this.activeRuns.set(task, activeRun);
     this.observedRuns.push(activeRun);
-    const usedCpu = [...this.activeRuns.values()].reduce((sum, other) => sum + other.cpu, 0);
-    if (usedCpu > this.capacity.cpu)
-      this.overloads.push(`${this.id}: ${usedCpu} of ${this.capacity.cpu}`);
+    if (usedBefore + cpu > this.capacity.cpu)
+      this.overloads.push(`${this.id}: ${usedBefore + cpu} of ${this.capacity.cpu}`);
     if (taskId.index === crashingTask) {
       if (crashAfterMs > 0) setTimeout(() => this.crash(), crashAfterMs);
       else this.crash();
--- a/packages/proofs/tests/support/dispatchSchedule.ts
+++ b/packages/proofs/tests/support/dispatchSchedule.ts
@@ -24,8 +24,10 @@
     | 'reborn'
     /** The worker reports that it leaves, and restarts at the end of the fault. */
     | 'leaves'
-    /** The capacity of the worker shrinks to a third. */
+    /** The capacity of the worker shrinks to a third, and it reports so at once. */
     | 'shrink'
+    /** The same, but the agent learns of it from the next report; the worker refuses what exceeds it. */
+    | 'shrinkUnseen'
     /** Operators take the data centre of the worker out. */
     | 'takeOut';
   /** Time of the fault after the start of the schedule, in milliseconds. */
@@ -165,11 +167,14 @@
       else worker?.restart();
     },
     shrink: () => {
-      if (!worker) return;
-      const { capacity } = worker;
-      worker.capacity = { ...capacity, cpu: isOn ? capacity.cpu / 3 : capacity.cpu * 3 };
+      worker?.scaleCapacity(isOn ? 1 / 3 : 3);
       simulation.reportNow(node);
     },
+    shrinkUnseen: () => {
+      if (!worker) return;
+      worker.rejectsOverload = true;
+      worker.scaleCapacity(isOn ? 1 / 3 : 3);
+    },
     takeOut: () => simulation.takeOut(isOn ? [dataCenter] : []),
   };
   actions[type]();
