A confined route is given workers that can run its tasks

Callers would see: while a route is confined, its jobs with a label, with tasks larger than some workers, or during an evacuation wait for workers that cannot run them, until they are refused. Cause: the quarter of the workers was chosen by name alone. Found by reading the confinement as a newcomer. Ruled out: a quarter of all workers with a fallback to the others when none fits; the route would then use all of these.

--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -176,9 +176,9 @@
     const loads = new Map<QueueEstimate, PassLoad>();
     jobs.forEach(({ job, isLate }) => {
       const rooms = roomsOf(job.route);
-      const { hasWorkers } = rooms;
       const estimate = this.estimateOf(job.route, isLate);
-      const load = loads.get(estimate) ?? { placedWork: 0, waitingWork: 0, hasWorkers };
+      const load = loads.get(estimate) ?? { placedWork: 0, waitingWork: 0, hasWorkers: false };
+      load.hasWorkers ||= rooms.hasWorkersFor(job.step);
       loads.set(estimate, load);
       this.placeJob(job, rooms, load);
       const waitingWork = workOf(job.step, job.waitingTasks.length);
@@ -258,7 +258,7 @@
     const usefulUntil = Math.min(deadlineAt, arrivedAt + MAX_LATENESS_FACTOR * objectiveMs);
     const startWithinMs = usefulUntil - step.estimateMs * rooms.bestSlowness - now;
     const ageMs = now - arrivedAt;
-    const { hasWorkers } = rooms;
+    const hasWorkers = rooms.hasWorkersFor(step);
     const refusal = findRefusal(
       { ageMs, objectiveMs, startWithinMs, estimatedWaitMs, hasWorkers },
       this.host.random(),
--- a/packages/dispatch/src/WorkerRooms.ts
+++ b/packages/dispatch/src/WorkerRooms.ts
@@ -21,23 +21,34 @@
   isLocal: boolean;
 };
 
+type ServiceWorker = { agent: string; view: WorkerView };
+
+/** Chooses agents from a list of names. */
+export type AgentChoice = (agents: readonly string[]) => readonly string[];
+
+const canRun = ({ label, needs }: Step, { labels, capacity }: WorkerView): boolean =>
+  fits(needs, capacity) && (!label || labels.includes(label));
+
 /**
  * Free resources of the workers of one service during one dispatch pass. Load pattern: many waiting jobs
  * and many agents that are nearly all full. Each agent is looked at once, and a waiting job then costs
  * one comparison for each agent instead of a candidate.
  */
 export class WorkerRooms {
+  /** Chosen agents by what a step asks of a worker. */
+  private readonly chosenAgents = new Map<string, ReadonlySet<string>>();
+
   private constructor(
     private readonly rooms: readonly Room[],
-    /** Names of all agents of the service, also of those whose workers are closed. */
-    readonly agents: readonly string[],
-    /** Names of the agents whose workers are not closed. */
-    private readonly openAgents: readonly string[],
+    /** All workers of the service that are not evacuated, also closed ones. */
+    private readonly workers: readonly ServiceWorker[],
     /**
      * Slowness of the service's fast workers: the first quartile over its open workers, so that one
      * outlier does not decide.
      */
     readonly bestSlowness: number,
+    /** Chooses the usable agents from those whose workers can run a step; all if absent. */
+    private readonly choose?: AgentChoice,
     /** Names of agents that are used only when there are no others. */
     private readonly avoidedAgents: ReadonlySet<string> = new Set(),
   ) {}
@@ -58,53 +69,52 @@
       if (!view || view.service !== service) return [];
       return [{ connection, view, isLocal: agent.dataCenter === dataCenter }];
     });
-    const notClosed = ofService.filter(({ view }) => view.state !== 'closed');
-    const slownessValues = notClosed
+    const slownessValues = ofService
       .filter(({ view }) => view.state === 'open')
       .map(({ view }) => view.slowness)
       .sort((a, b) => a - b);
-    const rooms = notClosed
-      .filter(
-        ({ connection: { agent, pausedUntil } }) =>
-          now >= pausedUntil && !evacuatedDataCenters.includes(agent.dataCenter),
-      )
-      .map((room) => ({ ...room, free: room.connection.free }));
     const bestSlowness = slownessValues[Math.floor(slownessValues.length / 4)] ?? 1;
-    const namesOf = (list: typeof ofService) => list.map(({ connection }) => connection.name);
-    return new WorkerRooms(rooms, namesOf(ofService), namesOf(notClosed), bestSlowness);
+    const inService = ofService.filter(
+      ({ connection }) => !evacuatedDataCenters.includes(connection.agent.dataCenter),
+    );
+    const rooms = inService
+      .filter(({ connection, view }) => view.state !== 'closed' && now >= connection.pausedUntil)
+      .map((room) => ({ ...room, free: room.connection.free }));
+    const workers = inService.map(({ connection, view }) => ({ agent: connection.name, view }));
+    return new WorkerRooms(rooms, workers, bestSlowness);
   }
 
-  /** True when one of the workers is not closed. */
-  get hasWorkers(): boolean {
-    return this.openAgents.length > 0;
+  /** Names of the agents of the service, also of those whose workers are closed. */
+  get agents(): string[] {
+    return this.workers.map(({ agent }) => agent);
   }
 
   /**
-   * @param agents - names of agents
-   * @returns the rooms of these agents alone
+   * @param step - a step
+   * @returns true when one of the workers that can run its tasks is not closed
    */
-  restrictTo(agents: readonly string[]): WorkerRooms {
-    const allowed = new Set(agents);
-    return new WorkerRooms(
-      this.rooms.filter(({ connection }) => allowed.has(connection.name)),
-      agents,
-      this.openAgents.filter((agent) => allowed.has(agent)),
-      this.bestSlowness,
+  hasWorkersFor(step: Step): boolean {
+    return this.workers.some(
+      ({ agent, view }) =>
+        view.state !== 'closed' && canRun(step, view) && this.isChosenFor(step, agent),
     );
   }
 
+  /**
+   * @param choose - chooses agents from those whose workers can run a step
+   * @returns the rooms of the chosen agents alone
+   */
+  restrictTo(choose: AgentChoice): WorkerRooms {
+    return new WorkerRooms(this.rooms, this.workers, this.bestSlowness, choose);
+  }
+
   /**
    * @param agents - names of agents
    * @returns the same rooms, of which those of these agents are used only when there are no others
    */
   avoid(agents: readonly string[]): WorkerRooms {
-    return new WorkerRooms(
-      this.rooms,
-      this.agents,
-      this.openAgents,
-      this.bestSlowness,
-      new Set(agents),
-    );
+    const avoidedAgents = new Set(agents);
+    return new WorkerRooms(this.rooms, this.workers, this.bestSlowness, this.choose, avoidedAgents);
   }
 
   /**
@@ -121,8 +131,8 @@
     reservedTasks: number,
   ): Candidate[] {
     const usable = this.rooms.filter(
-      ({ free, view }) =>
-        fits(step.needs, free) && (!step.label || view.labels.includes(step.label)),
+      ({ connection, free, view }) =>
+        fits(step.needs, free) && canRun(step, view) && this.isChosenFor(step, connection.name),
     );
     const preferred = usable.filter(
       ({ connection: { name } }) => !avoidedAgents.has(name) && !this.avoidedAgents.has(name),
@@ -142,6 +152,18 @@
     if (room) room.free = room.connection.free;
   }
 
+  private isChosenFor(step: Step, agent: string): boolean {
+    if (!this.choose) return true;
+    const key = JSON.stringify([step.label, step.needs]);
+    const chosen = this.chosenAgents.get(key) ?? new Set(this.choose(this.findAgentsFor(step)));
+    this.chosenAgents.set(key, chosen);
+    return chosen.has(agent);
+  }
+
+  private findAgentsFor(step: Step): string[] {
+    return this.workers.filter(({ view }) => canRun(step, view)).map(({ agent }) => agent);
+  }
+
   private toCandidate(
     { connection, view, free, isLocal }: Room,
     step: Step,
--- a/packages/dispatch/src/createRoomFinder.ts
+++ b/packages/dispatch/src/createRoomFinder.ts
@@ -25,7 +25,7 @@
     const confinedRoutes = confinement.routesOf(service);
     if (confinedRoutes.length === 0) return rooms;
     if (confinedRoutes.includes(name)) {
-      return rooms.restrictTo(confinement.chooseAgents(name, rooms.agents));
+      return rooms.restrictTo((agents) => confinement.chooseAgents(name, agents));
     }
     return rooms.avoid(
       confinedRoutes.flatMap((route) => confinement.chooseAgents(route, rooms.agents)),
--- a/packages/dispatch/tests/WorkerRooms.test.ts
+++ b/packages/dispatch/tests/WorkerRooms.test.ts
@@ -21,7 +21,9 @@
   fields: Partial<WorkerView> = {},
 ): AgentConnection => {
   const free = { cpu: fittingTasks * NEEDS.cpu, memoryMb: 32_000, accelerators: 0 };
-  const view = { service: 'desk', labels: [], free, state: 'open', slowness: 1, ...fields };
+  const defaults = { service: 'desk', labels: [], state: 'open', slowness: 1 };
+  const capacity = { ...free, cpu: 8 * NEEDS.cpu };
+  const view = { ...defaults, capacity, free, ...fields };
   const agent = { name, address: '', dataCenter: 'north' };
   return { name, agent, view, free, pausedUntil: 0 } as unknown as AgentConnection;
 };
@@ -53,6 +55,21 @@
     expect(others.findCandidates(step(1), new Set(), 0)).toEqual([]);
   });
 
+  it('has workers for a step while one that can run its tasks is not closed', () => {
+    const small = { ...NEEDS, cpu: NEEDS.cpu - 1 };
+    const rooms = roomsOf([
+      createConnection('full', 0, { labels: ['gpu'] }),
+      createConnection('small', 0, { capacity: small, labels: ['ssd'] }),
+      createConnection('closed', 4, { state: 'closed', labels: ['arm'] }),
+    ]);
+    const labels = [undefined, 'gpu', 'ssd', 'arm'];
+    const answers = labels.map((label) => rooms.hasWorkersFor({ ...step(1), label }));
+    expect(answers).toEqual([true, true, false, false]);
+    const evacuated = { ...filter, evacuatedDataCenters: ['north'] };
+    const others = WorkerRooms.create([createConnection('open', 4)], 'desk', evacuated);
+    expect(others.hasWorkersFor(step(1))).toBe(false);
+  });
+
   it('offers a worker on trial one task, whatever is reserved', () => {
     const rooms = roomsOf([createConnection('trial', 6, { state: 'trial' })]);
     expect(rooms.findCandidates(step(4), new Set(), RESERVED_TASKS)).toMatchObject([
