A worker is not ejected for tasks that fail wherever they run

Callers would see: less room, for a second at a time, while another client's jobs fail by their own fault. WorkerHealth counts the failed and stalled runs of different jobs, also of tasks that had failed on another worker before. GateAgent.test.ts and Dispatcher.test.ts failed before. Ruled out: a limit on ejected workers at the agent, which does not know the others. Change: an assignment says that its tasks have failed elsewhere, and the agent does not hold their failures against its worker. Refusals of an unhealthy worker count as before.

--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -45,7 +45,7 @@
 type PassLoad = { placedWork: number; waitingWork: number; hasWorkers: boolean };
 
 /** What an agent is told of all tasks of an assignment. */
-type AssignmentTraits = Pick<Assignment, 'bestSlowness' | 'isSuspect'>;
+type AssignmentTraits = Pick<Assignment, 'bestSlowness' | 'isSuspect' | 'hasFailedElsewhere'>;
 
 /** Assigns the tasks of accepted jobs to agents and applies the results of their runs to the jobs. */
 export class Dispatcher {
@@ -231,7 +231,9 @@
           placeTasks(candidates, { ...goal, count }, this.host.random).forEach((placement) => {
             const end = assignedCount + placement.count;
             const group = indexes.slice(assignedCount, end);
-            this.assign(job, placement, group, { bestSlowness, isSuspect: areSuspects });
+            const hasFailedElsewhere = [...avoidedAgents].some((name) => name !== placement.agent);
+            const traits = { bestSlowness, isSuspect: areSuspects, hasFailedElsewhere };
+            this.assign(job, placement, group, traits);
             rooms.refresh(placement.agent);
             assignedCount = end;
           });
--- a/packages/dispatch/tests/Dispatcher.test.ts
+++ b/packages/dispatch/tests/Dispatcher.test.ts
@@ -71,6 +71,20 @@
     expect(slow.assigned).toHaveLength(1);
   });
 
+  // Guards against healthy workers that are ejected for tasks that fail wherever they run.
+  it('says of a task that it has failed on another worker', async () => {
+    const agents = [createFakeAgent('first', 1, 5), createFakeAgent('second', 1, 5)];
+    const dispatcher = createDispatcher(agents.map(({ connection }) => connection));
+    dispatcher.add(createTestJob(1, 100));
+    await jest.advanceTimersByTimeAsync(50);
+    const [first, second] = agents.sort((a, b) => b.assigned.length - a.assigned.length);
+    expect(first?.assigned).toMatchObject([{ hasFailedElsewhere: false }]);
+    dispatcher.handleRunEnds(first?.connection.name ?? '', [['a', 0, 1, 'failed', 20]]);
+    await jest.advanceTimersByTimeAsync(50);
+    dispatcher.halt();
+    expect(second?.assigned).toMatchObject([{ hasFailedElsewhere: true }]);
+  });
+
   // After a pause of the VM its timers run before its sockets are read. What the sockets hold, such as the
   // disconnect of a client, has to be handled before anything is assigned.
   it('assigns nothing from its timer before the sockets have been read', async () => {
--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -183,6 +183,7 @@
       worker: this.options.worker,
       onRunEnded: (run: Run, how: RunEnd) => this.handleRunEnd(run, how),
       onUnhealthy: (run: Run) => this.recordFailure(run, 'unhealthy'),
+      onStalled: (run: Run) => this.recordFailureOfTask(run, 'stalled'),
       onChanged: () => this.connections.handleChange(),
       findRunsToMove: (runs: readonly Run[]) => this.findRunsToMove(runs),
       onReplaced: () => this.endSession('another incarnation answered', true),
@@ -369,6 +370,7 @@
         wasStarted: false,
         wasListed: false,
         isSuspect: assignment.isSuspect,
+        hasFailedElsewhere: assignment.hasFailedElsewhere,
       },
       spec,
     );
@@ -388,7 +390,7 @@
       'run_ended',
     );
     if (how === 'done') this.recordSuccess(run, ms);
-    if (how === 'failed') this.recordFailure(run, how);
+    if (how === 'failed') this.recordFailureOfTask(run, how);
     this.connections.reportEnd(run, how, ms);
     this.connections.handleChange();
   }
@@ -411,6 +413,11 @@
     return findSlowRuns(runs, this.slowness.value, now);
   }
 
+  /** Records a failure, unless the task has failed elsewhere too, which is no fault of this worker. */
+  private recordFailureOfTask(run: Run, how: string): void {
+    if (!run.hasFailedElsewhere) this.recordFailure(run, how);
+  }
+
   private recordFailure(run: Run, how: string): void {
     if (!this.health.recordFailure(run.task.job)) return;
     this.options.log.warn({ job: run.task.job, how }, 'worker_ejected');
--- a/packages/gate/src/WorkerSession.ts
+++ b/packages/gate/src/WorkerSession.ts
@@ -37,8 +37,10 @@
 export type WorkerSessionHost = {
   worker: WorkerClient;
   onRunEnded: (run: Run, how: RunEnd) => void;
-  /** Called when the worker refuses a run as unhealthy, or a run makes no progress. */
+  /** Called when the worker refuses a run as unhealthy. */
   onUnhealthy: (run: Run) => void;
+  /** Called when a run makes no progress. */
+  onStalled: (run: Run) => void;
   /** Called when the free resources or the availability of the worker have changed. */
   onChanged: () => void;
   /**
@@ -515,7 +517,7 @@
     const now = performance.now();
     const running = this.select((run) => run.state === 'running');
     const stalled = findStalledRuns(running, now);
-    stalled.forEach((run) => this.host.onUnhealthy(run));
+    stalled.forEach((run) => this.host.onStalled(run));
     new Set([...stalled, ...this.host.findRunsToMove(running)]).forEach((run) => {
       const { percent, estimateMs, admittedAt } = run;
       const ms = Math.round(now - admittedAt);
--- a/packages/gate/src/run.ts
+++ b/packages/gate/src/run.ts
@@ -28,6 +28,8 @@
   wasListed: boolean;
   /** A worker crashed just after it had started the task. */
   isSuspect: boolean;
+  /** Another run of the task has failed or stalled on another worker. */
+  hasFailedElsewhere: boolean;
 };
 
 /** A run that was on a worker when it crashed. */
--- a/packages/gate/tests/GateAgent.test.ts
+++ b/packages/gate/tests/GateAgent.test.ts
@@ -2,7 +2,7 @@
 import { Link, createCallServer } from '@marjorammast/protocol';
 import type { Params } from '@marjorammast/protocol';
 import { GateAgent } from '../src/GateAgent';
-import type { HoldResult, WorkerClient, WorkerReport } from '../src/WorkerClient';
+import type { HoldResult, ListedEnd, WorkerClient, WorkerReport } from '../src/WorkerClient';
 
 const report: WorkerReport = {
   id: 'i-1',
@@ -37,6 +37,42 @@
   };
 };
 
+/** Creates a client of a worker on which every run fails at once. */
+const createFailingWorkerClient = (): WorkerClient => {
+  const ended: ListedEnd[] = [];
+  const client = createWorkerClient(() => true);
+  return {
+    ...client,
+    start: (command) => {
+      const { task, run } = command;
+      ended.push({ number: ended.length + 1, task, run, how: 'failed' });
+      return client.start(command);
+    },
+    hold: async (command) => {
+      const answer = await client.hold(command);
+      return answer.type === 'list' ? { ...answer, list: { ...answer.list, ended } } : answer;
+    },
+  };
+};
+
+const assignment: Params<'assign'> = {
+  occurrence: 0,
+  step: 0,
+  job: 'a',
+  service: 'desk',
+  route: 'claims',
+  isSuspect: false,
+  hasFailedElsewhere: false,
+  spec: '',
+  needs: { cpu: 100, memoryMb: 10, accelerators: 0 },
+  maxPerWorker: 0,
+  estimateMs: 50,
+  bestSlowness: 1,
+  runs: [[0, 1]],
+  heldMs: 0,
+  echo: 0,
+};
+
 /** Attaches an entry to the agent over an in-memory link and collects the views that it receives. */
 const attach = async (agent: GateAgent, entry: string) => {
   const views: Params<'view'>[] = [];
@@ -65,7 +101,7 @@
     entry,
     rules: { revision: 0, outDataCenters: [] },
   });
-  return { views, answer };
+  return { views, answer, entryLink };
 };
 
 describe('GateAgent', () => {
@@ -104,6 +140,30 @@
     agent.halt();
   });
 
+  // Guards against a healthy worker that is ejected for tasks that fail wherever they run.
+  it.each([
+    ['keeps a worker on which tasks fail that have failed elsewhere', true, 'open'],
+    ['ejects a worker on which tasks fail that have not failed elsewhere', false, 'closed'],
+  ])('%s', async (_, hasFailedElsewhere, state) => {
+    const agent = GateAgent.create({
+      name: 'agent',
+      dataCenter: 'one',
+      worker: createFailingWorkerClient(),
+      clock: () => performance.now(),
+      log: createLog('agent', 'silent'),
+      meter: { assigned: jest.fn(), ended: jest.fn(), crashed: jest.fn() },
+    });
+    agent.handleReport(report);
+    const { entryLink } = await attach(agent, 'entry');
+    await jest.advanceTimersByTimeAsync(100);
+    ['a', 'b', 'c'].forEach((job) => {
+      void entryLink.call('assign', { ...assignment, job, hasFailedElsewhere });
+    });
+    await jest.advanceTimersByTimeAsync(300);
+    expect(agent.view.state).toBe(state);
+    agent.halt();
+  });
+
   // A report that the network held back may arrive after its worker has left.
   it('does not use a worker again for a report that it sent before it deregistered', async () => {
     const agent = GateAgent.create({
--- a/packages/gate/tests/SlownessEstimate.test.ts
+++ b/packages/gate/tests/SlownessEstimate.test.ts
@@ -16,6 +16,7 @@
   wasListed: true,
   route: 'claims',
   isSuspect: false,
+  hasFailedElsewhere: false,
   wasStarted: true,
 });
 
--- a/packages/gate/tests/WorkerSession.test.ts
+++ b/packages/gate/tests/WorkerSession.test.ts
@@ -53,6 +53,7 @@
   wasListed: false,
   route: 'claims',
   isSuspect: false,
+  hasFailedElsewhere: false,
   wasStarted: false,
 });
 
@@ -94,6 +95,7 @@
     },
     onRunEnded: (_, how) => fixture.ends.push(how),
     onUnhealthy: jest.fn(),
+    onStalled: jest.fn(),
     onChanged: jest.fn(),
     findRunsToMove: () => [],
     onReplaced: jest.fn(),
--- a/packages/gate/tests/admit.test.ts
+++ b/packages/gate/tests/admit.test.ts
@@ -12,6 +12,7 @@
   service: 'desk',
   route: 'claims',
   isSuspect: false,
+  hasFailedElsewhere: false,
   spec: '',
   needs,
   maxPerWorker: 0,
--- a/packages/gate/tests/findStalledRuns.test.ts
+++ b/packages/gate/tests/findStalledRuns.test.ts
@@ -18,6 +18,7 @@
   wasListed: true,
   route: 'claims',
   isSuspect: false,
+  hasFailedElsewhere: false,
   wasStarted: true,
 });
 
--- a/packages/protocol/src/dispatchMessages.ts
+++ b/packages/protocol/src/dispatchMessages.ts
@@ -147,6 +147,8 @@
       route: z.string().default(''),
       /** A worker crashed just after it had started one of the tasks. */
       isSuspect: z.boolean().default(false),
+      /** Runs of the tasks have failed or stalled on another worker, so the tasks may be the cause. */
+      hasFailedElsewhere: z.boolean().default(false),
       spec: z.string(),
       needs: resourcesSchema,
       label: z.string().optional(),
