A task waits for word of the workers that were lost with it

Callers would see: worker after worker taken out by one task that crashes a worker together with its VM, or makes it silent. An agent learns of a crash from a refused connection or from the worker's next incarnation. A worker that only falls silent is lost after its lease, and its task was started elsewhere without a limit until the first of these workers was back. Ruled out: counting silence as a crash; a machine that is only silent would have its work given up. Change: a task of which three workers have crashed or were lost waits while a lost one is not back and its crash is not known. What then is heard decides: the crash counts, or the task is started again.

--- a/packages/dispatch/src/CrashRecords.ts
+++ b/packages/dispatch/src/CrashRecords.ts
@@ -6,7 +6,8 @@
   MAX_SUSPICIONS_PER_TASK,
 } from './constants';
 
-type LostRun = WorkerCrash['runs'][number];
+/** A run of a crashed worker, with the name of its agent. */
+type LostRun = WorkerCrash['runs'][number] & { agent: string };
 
 /** Incarnations of workers that crashed under a task, each with the run that it had. */
 type TaskCrashes = Map<string, LostRun>;
@@ -30,7 +31,7 @@
  * are attached to them, and those of the last minute to an entry that attaches.
  */
 export class CrashRecords {
-  /** By job, in the order in which the jobs were first recorded. */
+  /** By job, each with the time of its first crash. */
   private readonly jobs = new Map<string, { at: number; tasks: Map<number, TaskCrashes> }>();
 
   private constructor() {}
@@ -46,10 +47,10 @@
    * @param crash - the crashed incarnation of a worker and its runs
    * @returns the tasks whose crash budget is spent with this crash
    */
-  record({ incarnation, runs }: WorkerCrash): CrashingTask[] {
+  record({ incarnation, agent, runs }: WorkerCrash): CrashingTask[] {
     this.expire();
     return runs
-      .filter((run) => this.add(incarnation, run))
+      .filter((run) => this.add(incarnation, { ...run, agent }))
       .map(({ job, index, route }) => ({ job, index, route }));
   }
 
@@ -59,8 +60,16 @@
    * @returns true when a worker crashed just after it had started the task
    */
   isSuspect(job: string, index: number): boolean {
-    const crashes = this.jobs.get(job)?.tasks.get(index) ?? new Map<string, LostRun>();
-    return [...crashes.values()].some((run) => run.isSuspect);
+    return this.crashesOf(job, index).some((run) => run.isSuspect);
+  }
+
+  /**
+   * @param job - identifier of a job
+   * @param index - index of one of its tasks
+   * @returns names of the agents whose workers crashed under the task
+   */
+  agentsOf(job: string, index: number): string[] {
+    return this.crashesOf(job, index).map(({ agent }) => agent);
   }
 
   /**
@@ -75,15 +84,19 @@
   /** Returns true when this crash spends the budget of the task. */
   private add(incarnation: string, run: LostRun): boolean {
     const { job, index } = run;
-    const record = this.jobs.get(job) ?? { at: performance.now(), tasks: new Map() };
-    this.jobs.set(job, record);
-    const crashes: TaskCrashes = record.tasks.get(index) ?? new Map<string, LostRun>();
-    record.tasks.set(index, crashes);
+    const tasks = this.jobs.get(job)?.tasks ?? new Map<number, TaskCrashes>();
+    this.jobs.set(job, { at: this.jobs.get(job)?.at ?? performance.now(), tasks });
+    const crashes: TaskCrashes = tasks.get(index) ?? new Map<string, LostRun>();
+    tasks.set(index, crashes);
     const wasSpent = isSpent(crashes);
     if (!crashes.has(incarnation)) crashes.set(incarnation, run);
     return !wasSpent && isSpent(crashes);
   }
 
+  private crashesOf(job: string, index: number): LostRun[] {
+    return [...(this.jobs.get(job)?.tasks.get(index)?.values() ?? [])];
+  }
+
   private expire(): void {
     const oldestKept = performance.now() - CRASH_RETENTION_MS;
     this.jobs.forEach(({ at }, job) => {
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -7,6 +7,7 @@
 import {
   DECLINE_PAUSE_MS,
   MAX_DISPATCH_PASS_INTERVAL_MS,
+  MAX_LOST_WORKERS_PER_TASK,
   MAX_LATENESS_FACTOR,
   RESERVED_TASKS,
   RUN_EXPIRY_MS,
@@ -221,8 +222,9 @@
     const slackMs = objectiveAt - performance.now();
     const goal = { estimateMs: step.estimateMs, slackMs, bestSlowness };
     const isSuspect = (index: number) => this.host.crashRecords.isSuspect(job.id, index);
+    const isHeld = (index: number) => this.isHeld(job, index);
     [RESERVED_TASKS, 0].forEach((reservedTasks) => {
-      groupWaitingTasks(job, isSuspect).forEach(
+      groupWaitingTasks(job, isSuspect, isHeld).forEach(
         ({ indexes, avoidedAgents, isSuspect: areSuspects }) => {
           const candidates = rooms.findCandidates(step, avoidedAgents, reservedTasks);
           if (candidates.length === 0) return;
@@ -245,6 +247,27 @@
     if (waitingTasks === 0) this.queue.delete(job);
   }
 
+  /**
+   * Tells whether a task waits for word of a worker that was lost with it: the worker may have crashed,
+   * and then too many have.
+   */
+  private isHeld({ id, tasks }: ActiveJob, index: number): boolean {
+    const lostAgents = tasks[index]?.lostAgents ?? new Set<string>();
+    lostAgents.forEach((agent) => {
+      if (this.isBack(agent)) lostAgents.delete(agent);
+    });
+    const crashedAgents = new Set(this.host.crashRecords.agentsOf(id, index));
+    const unexplained = [...lostAgents].filter((agent) => !crashedAgents.has(agent)).length;
+    return unexplained > 0 && unexplained + crashedAgents.size >= MAX_LOST_WORKERS_PER_TASK;
+  }
+
+  /** Tells whether an agent's worker takes tasks, or nothing more will be heard from the agent. */
+  private isBack(agent: string): boolean {
+    const connection = this.host.findConnection(agent);
+    if (!connection) return true;
+    return connection.view !== undefined && connection.view.state !== 'closed';
+  }
+
   /**
    * Refuses a job that has no started or assigned run and cannot be served in time.
    *
@@ -392,7 +415,11 @@
         this.requeueAfterEnd(job, index);
       })
       .with('lapsed', () => {
-        this.host.log.info({ job: job.id, index, agent, run: task.run }, 'task_lapsed');
+        task.lostAgents.add(agent);
+        this.host.log.info(
+          { job: job.id, index, agent, run: task.run, lost: task.lostAgents.size },
+          'task_lapsed',
+        );
         this.requeueAfterEnd(job, index);
       })
       .with('stopped', () => this.requeueAfterEnd(job, index))
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -83,6 +83,12 @@
  */
 export const MAX_LOST_RUNS_PER_TASK = 4;
 
+/**
+ * Number of workers that have crashed under a task or were lost with a run of it, from which the task waits
+ * until those that were lost are back: only then is it known whether they had crashed.
+ */
+export const MAX_LOST_WORKERS_PER_TASK = 3;
+
 /** Time for which crashes under the tasks of a job are remembered, in milliseconds. */
 export const CRASH_RETENTION_MS = 60_000;
 
--- a/packages/dispatch/src/groupWaitingTasks.ts
+++ b/packages/dispatch/src/groupWaitingTasks.ts
@@ -13,17 +13,20 @@
 /**
  * Groups the waiting tasks of a job for placement. Tasks that failed or stalled before are placed one by
  * one, since each has its own agents to avoid. Tasks that are suspected to have crashed a worker are
- * placed apart from the others.
+ * placed apart from the others. Tasks that have lost too many workers are not placed.
  *
  * @param job - the job
  * @param isSuspect - tells whether a task is suspected to have crashed a worker
+ * @param isHeld - tells whether a task has to wait until workers that were lost with it are back
  * @returns the groups in the order in which they are placed
  */
 export const groupWaitingTasks = (
   job: ActiveJob,
   isSuspect: (index: number) => boolean,
+  isHeld: (index: number) => boolean,
 ): TaskGroup[] => {
-  const tasks = job.waitingTasks.map((index) => ({
+  const placeable = job.waitingTasks.filter((index) => !isHeld(index));
+  const tasks = placeable.map((index) => ({
     index,
     avoidedAgents: job.tasks[index]?.avoidedAgents ?? new Set<string>(),
     isSuspect: isSuspect(index),
--- a/packages/dispatch/tests/CrashRecords.test.ts
+++ b/packages/dispatch/tests/CrashRecords.test.ts
@@ -10,6 +10,7 @@
   wasStarted = true,
 ): WorkerCrash => ({
   incarnation,
+  agent: incarnation,
   runs: [{ job: 'a', index, route: 'claims', isSuspect, wasStarted }],
 });
 
@@ -70,7 +71,7 @@
     records.record(createCrash('w1'));
     jest.advanceTimersByTime(CRASH_RETENTION_MS + 1);
     const [run] = createCrash('w2').runs;
-    if (run) records.record({ incarnation: 'w2', runs: [{ ...run, job: 'b' }] });
+    if (run) records.record({ incarnation: 'w2', agent: 'w2', runs: [{ ...run, job: 'b' }] });
     expect(records.isSuspect('a', 0)).toBe(false);
     expect(records.isSuspect('b', 0)).toBe(true);
     jest.useRealTimers();
--- a/packages/dispatch/tests/Dispatcher.test.ts
+++ b/packages/dispatch/tests/Dispatcher.test.ts
@@ -85,6 +85,28 @@
     expect(second?.assigned).toMatchObject([{ hasFailedElsewhere: true }]);
   });
 
+  // Guards against one task that takes out one worker after the other while nobody knows that they crash.
+  it('starts no task that three workers were lost with until one of them is back', async () => {
+    const agents = ['a', 'b', 'c', 'd'].map((name) => createFakeAgent(name, 1, 5));
+    const dispatcher = createDispatcher(agents.map(({ connection }) => connection));
+    dispatcher.add(createTestJob(1, 100));
+    const countAssigned = () => agents.flatMap(({ assigned }) => assigned).length;
+    for (let run = 1; run <= 3; run += 1) {
+      await jest.advanceTimersByTimeAsync(50);
+      expect(countAssigned()).toBe(run);
+      const lost = agents.find(({ assigned }) => assigned.slice(-1)[0]?.runs[0]?.[1] === run);
+      Object.assign(lost?.connection.view ?? {}, { state: 'closed' });
+      dispatcher.handleRunEnds(lost?.connection.name ?? '', [['a', 0, run, 'lapsed', 800]]);
+    }
+    await jest.advanceTimersByTimeAsync(1_000);
+    expect(countAssigned()).toBe(3);
+    const back = agents.find(({ assigned }) => assigned.length > 0);
+    Object.assign(back?.connection.view ?? {}, { state: 'open' });
+    await jest.advanceTimersByTimeAsync(50);
+    dispatcher.halt();
+    expect(countAssigned()).toBe(4);
+  });
+
   // After a pause of the VM its timers run before its sockets are read. What the sockets hold, such as the
   // disconnect of a client, has to be handled before anything is assigned.
   it('assigns nothing from its timer before the sockets have been read', async () => {
--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -232,6 +232,7 @@
     });
     const crash: WorkerCrash = {
       incarnation: `${id}@${born}`,
+      agent: this.options.name,
       runs: lostRuns.map((lostRun) => {
         const { task, route, wasStarted } = lostRun.run;
         const { job, index } = task;
--- a/packages/proofs/tests/support/DispatchSimulation.ts
+++ b/packages/proofs/tests/support/DispatchSimulation.ts
@@ -22,6 +22,9 @@
 /** Time that a client waits for an answer, in milliseconds. */
 const CLIENT_DEADLINE_MS = 5_000;
 
+/** Longest time of a job on any route, in milliseconds. */
+const ROUTE_TIMEOUT_MS = 15_000;
+
 /** Number of failed runs of one task after which its job fails. */
 const MAX_FAILED_RUNS = 2;
 
@@ -30,7 +33,7 @@
   host: 'h.example',
   prefix: `/${name}/`,
   service: 'desk',
-  timeoutMs: CLIENT_DEADLINE_MS,
+  timeoutMs: ROUTE_TIMEOUT_MS,
   targetLatencyMs: 60,
   stretch: 1.6,
   priority: 0,
@@ -46,6 +49,8 @@
   tasks: number;
   spec: TaskSpec;
   estimateMs: number;
+  /** Time after which the client no longer waits for an answer, in milliseconds; 5 s if absent. */
+  deadlineMs?: number;
 };
 
 /** An answer that a client received, with the entry that gave it and the monotonic time. */
@@ -282,7 +287,7 @@
     const isConnectionLost = () => client.signal.aborted || !entry.isAlive;
     const answered = entry.node.submit({
       route,
-      remainingMs: CLIENT_DEADLINE_MS,
+      remainingMs: job.deadlineMs ?? CLIENT_DEADLINE_MS,
       signal: client.signal,
       job: {
         id: job.id,
@@ -301,7 +306,7 @@
         ],
       },
     });
-    const until = performance.now() + (giveUpMs ?? CLIENT_DEADLINE_MS);
+    const until = performance.now() + (giveUpMs ?? job.deadlineMs ?? CLIENT_DEADLINE_MS);
     let outcome: JobOutcome | undefined;
     void answered.then((value) => {
       outcome = value;
--- a/packages/proofs/tests/support/MemoryWorker.ts
+++ b/packages/proofs/tests/support/MemoryWorker.ts
@@ -50,6 +50,8 @@
   crashingTask?: number;
   /** Time from its start to the crash, in milliseconds; 0 if absent, so that the start is not answered. */
   crashAfterMs?: number;
+  /** True when the worker's VM goes down too, so that its address does not refuse connections. */
+  isCrashSilent?: boolean;
 };
 
 type NoAnswer = Extract<CommandResult, { type: 'noAnswer' }>;
@@ -76,7 +78,7 @@
  */
 const SHORT_DELAY_MS = 300;
 
-/** Time after which a crashed worker is back, in milliseconds. */
+/** Time after which a crashed worker is back, in milliseconds; twice as long after a silent crash. */
 const CRASH_DURATION_MS = 3_000;
 
 /** Time until a command is executed and answered without a fault, in milliseconds. */
@@ -104,6 +106,9 @@
   /** True from a crash until the worker is back; its address then refuses connections. */
   private isDown = false;
 
+  /** True when commands get no answer, not even a refused connection, while the worker is down. */
+  private isCrashSilent = false;
+
   /** Monotonic time of the first report that the worker leaves, in milliseconds. */
   private leaveReportedAt = Infinity;
 
@@ -231,10 +236,14 @@
       await new Promise((resolve) => {
         setTimeout(resolve, EXECUTION_DELAY_MS);
       });
-      if (this.isDown) return { type: 'noAnswer', detail: 'refused', wasRefused: true };
-      const answer: T | undefined = isLate || commandFault === 'silent' ? undefined : command();
-      if (this.isDown) return { type: 'noAnswer', detail: 'closed', wasRefused: false };
-      if (answer && commandFault !== 'answerLost' && isAlive()) return answer;
+      if (this.isDown && !this.isCrashSilent) {
+        return { type: 'noAnswer', detail: 'refused', wasRefused: true };
+      }
+      const isSilent = this.isDown || isLate || commandFault === 'silent';
+      const answer: T | undefined = isSilent ? undefined : command();
+      if (this.isDown && !this.isCrashSilent)
+        return { type: 'noAnswer', detail: 'closed', wasRefused: false };
+      if (answer && !this.isDown && commandFault !== 'answerLost' && isAlive()) return answer;
       await new Promise((resolve) => {
         setTimeout(resolve, COMMAND_TIMEOUT_MS);
       });
@@ -297,7 +306,8 @@
     if (existing || run <= (this.highestRuns.get(task) ?? 0)) {
       return { type: 'refused', reason: 'lowRun', clock };
     }
-    const { runMs, cpu, fails, crashingTask, crashAfterMs = 0 } = JSON.parse(spec) as TaskSpec;
+    const taskSpec = JSON.parse(spec) as TaskSpec;
+    const { runMs, cpu, fails, crashingTask, crashAfterMs = 0, isCrashSilent = false } = taskSpec;
     const usedBefore = [...this.activeRuns.values()].reduce((sum, other) => sum + other.cpu, 0);
     if (this.rejectsOverload && usedBefore + cpu > this.capacity.cpu) {
       this.rejectedStarts += 1;
@@ -321,20 +331,22 @@
     if (usedBefore + cpu > this.capacity.cpu)
       this.overloads.push(`${this.id}: ${usedBefore + cpu} of ${this.capacity.cpu}`);
     if (taskId.index === crashingTask) {
-      if (crashAfterMs > 0) setTimeout(() => this.crash(), crashAfterMs);
-      else this.crash();
+      if (crashAfterMs > 0) setTimeout(() => this.crash(isCrashSilent), crashAfterMs);
+      else this.crash(isCrashSilent);
     }
     return { type: 'accepted', clock };
   }
 
-  private crash(): void {
+  private crash(isSilent: boolean): void {
     if (this.isDown) return;
     this.isDown = true;
+    this.isCrashSilent = isSilent;
     this.endAllRuns('crashed');
+    const durationMs = isSilent ? 2 * CRASH_DURATION_MS : CRASH_DURATION_MS;
     setTimeout(() => {
       this.isDown = false;
       this.restart();
-    }, CRASH_DURATION_MS);
+    }, durationMs);
   }
 
   private endAllRuns(how: string): void {
--- a/packages/proofs/tests/support/dispatchSchedule.ts
+++ b/packages/proofs/tests/support/dispatchSchedule.ts
@@ -60,6 +60,10 @@
   crashingTask?: number;
   /** Time from its start to the crash, in milliseconds. */
   crashAfterMs?: number;
+  /** True when the workers that it crashes only fall silent. */
+  isCrashSilent?: boolean;
+  /** Time after which the client no longer waits for an answer, in milliseconds; 5 s if absent. */
+  deadlineMs?: number;
   /** Time after which the client gives up its first call, in milliseconds, if it does. */
   giveUpMs: number | undefined;
   /** True when a client that has given up its first call sends the job again. */
@@ -209,6 +213,8 @@
         fails,
         crashingTask,
         crashAfterMs,
+        isCrashSilent,
+        deadlineMs,
         giveUpMs,
         sendsAgain,
       },
@@ -219,8 +225,16 @@
         id,
         route,
         tasks,
-        spec: { runMs, cpu, fails: fails && index % 5 === 0, crashingTask, crashAfterMs },
+        spec: {
+          runMs,
+          cpu,
+          fails: fails && index % 5 === 0,
+          crashingTask,
+          crashAfterMs,
+          isCrashSilent,
+        },
         estimateMs: runMs,
+        deadlineMs,
       };
       setTimeout(() => void simulation.send(job, entry, giveUpMs, sendsAgain), atMs);
     },
--- a/packages/proofs/tests/workerCrashes.test.ts
+++ b/packages/proofs/tests/workerCrashes.test.ts
@@ -67,6 +67,15 @@
     expect(countCrashes(simulation, CRASHING_JOB)).toBe(4);
   });
 
+  // Guards against starts on further workers before it is known whether the silent ones have crashed.
+  it('are started by three workers at most while these only fall silent', async () => {
+    const jobs = [createJob({ crashingTask: 0, isCrashSilent: true, deadlineMs: 12_000 })];
+    const simulation = await runDispatchSchedule({ seed: 3, faults: [], jobs }, AGENTS);
+    expect(checkDispatchGuarantees(simulation)).toEqual([]);
+    expect(simulation.answers.map(({ outcome }) => outcome.type)).toEqual(['failed']);
+    expect(countCrashes(simulation, CRASHING_JOB)).toBeLessThanOrEqual(3);
+  });
+
   it('do not fail the jobs that shared a worker with them', async () => {
     const crashing = createJob({ atMs: 500, crashingTask: 0 });
     const others = Array.from({ length: 30 }, (_, index) =>
--- a/packages/protocol/src/dispatchMessages.ts
+++ b/packages/protocol/src/dispatchMessages.ts
@@ -58,6 +58,8 @@
 export const workerCrashSchema = z.object({
   /** Identifies the incarnation. */
   incarnation: z.string(),
+  /** Name of the worker's agent. */
+  agent: z.string(),
   /** The runs that the worker had, or may have had. */
   runs: z.array(
     z.object({
