Crashes under a job are forgotten a minute after its last one, not its first

Callers would see: a job that is sent again for more than a minute gets a new crash budget while it still crashes workers. Cause: CrashRecords dated a job by its first crash. Found by reading. Evidence: CrashRecords.test.ts failed before. Change: each crash dates the job anew.

--- a/packages/dispatch/src/CrashRecords.ts
+++ b/packages/dispatch/src/CrashRecords.ts
@@ -31,7 +31,7 @@
  * are attached to them, and those of the last minute to an entry that attaches.
  */
 export class CrashRecords {
-  /** By job, each with the time of its first crash. */
+  /** By job, each with the time of its last crash. */
   private readonly jobs = new Map<string, { at: number; tasks: Map<number, TaskCrashes> }>();
 
   private constructor() {}
@@ -85,7 +85,7 @@
   private add(incarnation: string, run: LostRun): boolean {
     const { job, index } = run;
     const tasks = this.jobs.get(job)?.tasks ?? new Map<number, TaskCrashes>();
-    this.jobs.set(job, { at: this.jobs.get(job)?.at ?? performance.now(), tasks });
+    this.jobs.set(job, { at: performance.now(), tasks });
     const crashes: TaskCrashes = tasks.get(index) ?? new Map<string, LostRun>();
     tasks.set(index, crashes);
     const wasSpent = isSpent(crashes);
--- a/packages/dispatch/tests/CrashRecords.test.ts
+++ b/packages/dispatch/tests/CrashRecords.test.ts
@@ -65,11 +65,16 @@
     );
   });
 
-  it('forgets a job after the retention time', () => {
+  it('forgets a job when the retention time has passed since its last crash', () => {
     jest.useFakeTimers();
     const records = CrashRecords.create();
+    records.record(createCrash('w0', 0, false));
+    jest.advanceTimersByTime(CRASH_RETENTION_MS - 1);
     records.record(createCrash('w1'));
-    jest.advanceTimersByTime(CRASH_RETENTION_MS + 1);
+    jest.advanceTimersByTime(CRASH_RETENTION_MS - 1);
+    records.record({ incarnation: 'w2', agent: 'w2', runs: [] });
+    expect(records.isSuspect('a', 0)).toBe(true);
+    jest.advanceTimersByTime(2);
     const [run] = createCrash('w2').runs;
     if (run) records.record({ incarnation: 'w2', agent: 'w2', runs: [{ ...run, job: 'b' }] });
     expect(records.isSuspect('a', 0)).toBe(false);
