The soak crashes workers by tasks and changes capacities; a process test of a crashing task

Cause: why tests missed the incident. No stand-in of a worker could crash under a task or change its capacity, and the soak did not read the overloads that its workers had noted. SoakChecker: three starts after three crashes by undisturbed agents, a failure after fewer than two crashes, a start beyond the capacity (in every soak).

--- a/marjorammast-app/src/local/DispatchDeployment.ts
+++ b/marjorammast-app/src/local/DispatchDeployment.ts
@@ -23,6 +23,9 @@
 /** Time between two reports of a worker to its agent, in milliseconds. */
 const REPORT_PERIOD_MS = 300;
 
+/** Time after which a crashed worker is back, in milliseconds. */
+const CRASH_DURATION_MS = 3_000;
+
 /** Longest time to wait for a condition, in milliseconds. */
 const READY_TIMEOUT_MS = 20_000;
 
@@ -59,10 +62,10 @@
 const DATA_CENTERS = ['north', 'east'];
 
 /**
- * Run time in milliseconds and CPU requirement of a task, and whether it fails; sent as JSON in the
- * `spec` of its job.
+ * Run time in milliseconds and CPU requirement of the tasks of a job, whether they fail, and the index of
+ * the task that crashes its workers, if there is one; sent as JSON in the `spec` of the job.
  */
-export type TaskSpec = { runMs: number; cpu: number; fails?: boolean };
+export type TaskSpec = { runMs: number; cpu: number; fails?: boolean; crashingTask?: number };
 
 const parseSpec = (spec: string): TaskSpec => JSON.parse(spec) as TaskSpec;
 
@@ -98,7 +101,10 @@
 
   private readonly ports = new Map<string, number>();
 
-  private readonly servers: ServerType[] = [];
+  /** Servers of the stand-ins, by endpoint. */
+  private readonly servers = new Map<string, ServerType>();
+
+  private isStopped = false;
 
   private reportTimer: NodeJS.Timeout | undefined;
 
@@ -297,16 +303,14 @@
     );
     await Promise.all(daemons.map((daemon) => this.waitForExit(daemon)));
     clearTimeout(timer);
+    this.isStopped = true;
     this.workers.forEach((worker) => worker.halt());
-    this.servers.forEach((server) => {
-      server.close();
-      if ('closeAllConnections' in server) server.closeAllConnections();
-    });
+    this.servers.forEach((_, endpoint) => this.closeEndpoint(endpoint));
   }
 
   private async start(): Promise<void> {
     this.configure(1);
-    this.servers.push(await serveHttp(this.store.routes(), await this.addressOf('store')));
+    this.servers.set('store', await serveHttp(this.store.routes(), await this.addressOf('store')));
     for (let index = 0; index < this.workerCount; index += 1) await this.startWorker(index);
     this.reportTimer = setInterval(() => void this.sendReports(), REPORT_PERIOD_MS);
     for (let index = 0; index < this.workerCount; index += 1) await this.startAgent(index);
@@ -326,14 +330,39 @@
       runMs: (spec) => parseSpec(spec).runMs,
       needs: (spec) => ({ cpu: parseSpec(spec).cpu, memoryMb: 10, accelerators: 0 }),
       fails: (spec) => parseSpec(spec).fails ?? false,
+      crashes: (spec, task) => parseSpec(spec).crashingTask === task,
+      onCrash: () => void this.recoverWorker(index),
     });
     this.workers[index] = worker;
-    this.servers.push(await serveHttp(worker.routes(), await this.addressOf(`worker-${index}`)));
+    await this.openWorker(index);
+  }
+
+  private async openWorker(index: number): Promise<void> {
+    const endpoint = `worker-${index}`;
+    const worker = this.workers[index];
+    if (!worker) return;
+    this.servers.set(endpoint, await serveHttp(worker.routes(), await this.addressOf(endpoint)));
+  }
+
+  /** Closes the address of a crashed worker, and starts the worker again some time later. */
+  private async recoverWorker(index: number): Promise<void> {
+    this.closeEndpoint(`worker-${index}`);
+    await sleep(CRASH_DURATION_MS);
+    if (this.isStopped) return;
+    this.workers[index]?.recover();
+    await this.openWorker(index);
+  }
+
+  private closeEndpoint(endpoint: string): void {
+    const server = this.servers.get(endpoint);
+    server?.close();
+    if (server && 'closeAllConnections' in server) server.closeAllConnections();
   }
 
   private async sendReports(): Promise<void> {
     await Promise.all(
       this.workers.map(async (worker, index) => {
+        if (worker.isDown) return;
         const { path, body } = worker.report();
         try {
           await this.call(`agent-${index}-reports`, 'POST', path, body);
--- a/marjorammast-app/src/soak.ts
+++ b/marjorammast-app/src/soak.ts
@@ -11,6 +11,7 @@
     .option('--seed <n>', 'Seed of the faults and of the clients', { default: 1 })
     .option('--minutes <m>', 'Minutes during which faults are injected', { default: 1 })
     .option('--entries <n>', 'Number of entry processes', { default: 3 })
+    .option('--crashes', 'Adds tasks that crash their workers, and changes of capacities')
     .option('--workers <n>', 'Number of workers, each with an agent process', { default: 4 })
     .help();
   const { options } = cli.parse();
@@ -21,7 +22,8 @@
   if (![seed, minutes, entries, workers].every((value) => value > 0)) {
     throw new Error('--seed, --minutes, --entries and --workers take numbers above 0');
   }
-  const plan = { seed, durationMs: minutes * 60_000, entries, workers };
+  const hasCrashes = options.crashes === true;
+  const plan = { seed, durationMs: minutes * 60_000, entries, workers, hasCrashes };
   const log = createLog('soak', 'info');
   const { violations, outcomes, ...counts } = await Soak.create(plan, log).run();
   violations.forEach((violation) => log.error({ violation }, 'violation'));
--- a/marjorammast-app/src/soak/Soak.ts
+++ b/marjorammast-app/src/soak/Soak.ts
@@ -20,6 +20,8 @@
   entries: number;
   /** Number of workers, each with an agent process. */
   workers: number;
+  /** True when some tasks crash their workers and capacities change. */
+  hasCrashes: boolean;
 };
 
 /** Result of a soak test. */
@@ -60,6 +62,12 @@
 /** Lowest clock rate that the platform allows; every second worker of the test has it. */
 const SLOWEST_CLOCK_RATE = 0.98;
 
+/** Mean pause before the capacity of a worker shrinks, and mean time until it grows, in milliseconds. */
+const MEAN_CAPACITY_CHANGE_MS = 2_000;
+
+/** Factor by which a capacity shrinks. */
+const SHRINK_FACTOR = 1 / 2;
+
 /** Number of jobs submitted at the end to check the recovery. */
 const PROBES = 10;
 
@@ -135,11 +143,12 @@
     deployment: DispatchDeployment,
     injector: FaultInjector,
   ): Promise<SoakReport> {
-    const { entries, durationMs, seed } = this.plan;
+    const { entries, durationMs, seed, hasCrashes } = this.plan;
     const collectEvents = () => this.collectEvents(deployment, injector);
     const clients = SoakClients.create({
       deployment,
       entries,
+      hasCrashingTasks: hasCrashes,
       random: createRandom(seed + 1),
       onFinished: (job) => {
         collectEvents();
@@ -149,10 +158,17 @@
     const collector = setInterval(collectEvents, POLL_MS);
     const end = performance.now() + durationMs;
     const context = { deployment, injector, clients };
-    await Promise.all([clients.run(end), this.injectFaults(end, context)]);
+    await Promise.all([
+      clients.run(end),
+      this.injectFaults(end, context),
+      hasCrashes && this.changeCapacities(end, context),
+    ]);
     await this.checkSettled(context);
     clearInterval(collector);
     collectEvents();
+    deployment.workers
+      .flatMap(({ overloads }) => overloads)
+      .forEach((overload) => this.checker.report(`capacity: ${overload}`));
     return {
       violations: this.checker.violations,
       jobs: clients.jobs,
@@ -198,6 +214,19 @@
     await Promise.all(this.activeFaults);
   }
 
+  /** Shrinks the capacity of one worker after the other, and lets it grow again. */
+  private async changeCapacities(end: number, { deployment }: SoakContext): Promise<void> {
+    const random = createRandom(this.plan.seed + 2);
+    const wait = () => sleep(2 * MEAN_CAPACITY_CHANGE_MS * random());
+    while (performance.now() < end) {
+      await wait();
+      const worker = deployment.workers[Math.floor(random() * deployment.workers.length)];
+      worker?.scaleCapacity(SHRINK_FACTOR);
+      await wait();
+      worker?.scaleCapacity(1 / SHRINK_FACTOR);
+    }
+  }
+
   private async injectFault(fault: Fault, { injector }: SoakContext): Promise<void> {
     const activeFault = injector.start(fault);
     if (!activeFault) return;
--- a/marjorammast-app/src/soak/SoakChecker.ts
+++ b/marjorammast-app/src/soak/SoakChecker.ts
@@ -13,8 +13,16 @@
   state: string;
 };
 
-/** A job, its number of tasks, and all calls that clients made for it. */
-export type SoakJob = { id: string; tasks: number; attempts: readonly Attempt[] };
+/**
+ * A job, its number of tasks, the index of the task that crashes its workers, if there is one, and all
+ * calls that clients made for it.
+ */
+export type SoakJob = {
+  id: string;
+  tasks: number;
+  crashingTask?: number;
+  attempts: readonly Attempt[];
+};
 
 /**
  * Time span in which the soak disturbed a component: a process, one of its links, or the store.
@@ -45,6 +53,15 @@
 /** Time after which an entry has certainly read a request, in milliseconds. */
 const REQUEST_READ_MS = 150;
 
+/** Number of crashes under a task after which its job may fail. */
+const MIN_CRASHES = 2;
+
+/** Number of crashes under a task after which its further starts are counted. */
+const COUNTED_FROM_CRASHES = 3;
+
+/** Number of further starts that violates the guarantee. */
+const MAX_FURTHER_STARTS = 3;
+
 /** Checks the guarantees of the system from what clients and workers observe. */
 export class SoakChecker {
   /** Descriptions of the violated guarantees. */
@@ -133,6 +150,7 @@
   checkJob(job: SoakJob): void {
     const events = this.eventsOf(job.id);
     this.checkRefusedJob(job, events);
+    this.checkCrashBudget(job, events);
     job.attempts.forEach((attempt) => {
       if (attempt.status === 200) this.checkAnswer(job, attempt, events);
       if (attempt.status === 'broken') this.checkBrokenCall(job, attempt);
@@ -193,6 +211,21 @@
     }
   }
 
+  /** Reports a task that undisturbed agents have started again and again though it crashes workers. */
+  private checkCrashBudget({ id, crashingTask }: SoakJob, events: readonly WorkerEvent[]): void {
+    if (crashingTask === undefined) return;
+    const ofTask = events.filter(({ task }) => task === `${id}.0.0.${crashingTask}`);
+    const crashes = ofTask.filter(({ type }) => type === 'crashed');
+    const countedFrom = crashes[COUNTED_FROM_CRASHES - 1]?.at ?? Infinity;
+    const furtherStarts = ofTask.filter(
+      ({ type, at, worker }) =>
+        type === 'start' && at > countedFrom && this.wasUndisturbed(worker, at, at),
+    ).length;
+    if (furtherStarts >= MAX_FURTHER_STARTS) {
+      this.report(`crash budget: task ${crashingTask} of job ${id} had ${crashes.length} crashes`);
+    }
+  }
+
   /** Reports an answer that contradicts the runs of the job's tasks. */
   private checkAnswer(
     { id, tasks }: SoakJob,
@@ -211,7 +244,9 @@
       );
     }
     const { maxFailedRuns } = this.layout;
-    if (state === 'failed' && !indexes.some((index) => count(index, 'failed') >= maxFailedRuns)) {
+    const mayFail = (index: number) =>
+      count(index, 'failed') >= maxFailedRuns || count(index, 'crashed') >= MIN_CRASHES;
+    if (state === 'failed' && !indexes.some(mayFail)) {
       this.report(
         `false failure: job ${id} was answered as failed after too few failed runs of a task`,
       );
--- a/marjorammast-app/src/soak/SoakClients.ts
+++ b/marjorammast-app/src/soak/SoakClients.ts
@@ -15,14 +15,19 @@
 
 const MAX_TASKS = 5;
 
-/** Shares of jobs whose tasks fail, whose tasks are long, and whose client disconnects early. */
-const SHARES = { failing: 0.03, long: 0.05, leaving: 0.08 };
+/**
+ * Shares of jobs whose tasks fail, whose tasks are long, whose client disconnects early, and one of whose
+ * tasks crashes its workers.
+ */
+const SHARES = { failing: 0.03, long: 0.05, leaving: 0.08, crashing: 0.01 };
 
 /** Deployment to which the clients submit jobs, random numbers and callback. */
 export type SoakClientsOptions = {
   deployment: DispatchDeployment;
   /** Number of entries of the deployment. */
   entries: number;
+  /** True when some jobs have a task that crashes its workers. */
+  hasCrashingTasks: boolean;
   /** Uniform random numbers from 0 to below 1. */
   random: () => number;
   /** Called with each job after the client has made its last call. */
@@ -87,7 +92,7 @@
   }
 
   private plan(): JobPlan {
-    const { random } = this.options;
+    const { hasCrashingTasks, random } = this.options;
     const hasLongTasks = random() < SHARES.long;
     const spec = {
       runMs: Math.round((hasLongTasks ? 2_000 : 20) + 300 * random()),
@@ -95,12 +100,15 @@
       fails: random() < SHARES.failing,
     };
     const timeoutMs = random() < SHARES.leaving ? Math.round(30 + 400 * random()) : CALL_TIMEOUT_MS;
-    return { id: this.nextId(), tasks: 1 + Math.floor(MAX_TASKS * random()), spec, timeoutMs };
+    const job = { id: this.nextId(), tasks: 1 + Math.floor(MAX_TASKS * random()), timeoutMs };
+    const isCrashing = hasCrashingTasks && random() < SHARES.crashing;
+    return { ...job, spec: isCrashing ? { ...spec, fails: false, crashingTask: 0 } : spec };
   }
 
   private async send(plan: JobPlan): Promise<SoakJob> {
     const attempts: Attempt[] = [];
-    const job = { id: plan.id, tasks: plan.tasks, attempts };
+    const { id, tasks, spec } = plan;
+    const job = { id, tasks, crashingTask: spec.crashingTask, attempts };
     for (;;) {
       const attempt = await this.call(plan);
       attempts.push(attempt);
--- a/marjorammast-app/tests/SoakChecker.test.ts
+++ b/marjorammast-app/tests/SoakChecker.test.ts
@@ -89,6 +89,38 @@
     expect(secondChecker.violations).toEqual([]);
   });
 
+  it('allows a failed job after two crashes under a task, not after one', () => {
+    const violationsAfter = (crashes: number): readonly string[] => {
+      const checker = create();
+      for (let run = 1; run <= crashes; run += 1) {
+        const fields = { run, worker: `i-${run}` };
+        const at = 10_000 + 20 * run;
+        checker.addWorkerEvents([event(at, 'start', fields), event(at + 10, 'crashed', fields)]);
+      }
+      checker.checkJob(job(attempt(200, { state: 'failed' })));
+      return checker.violations;
+    };
+    expect(violationsAfter(1)).toEqual([expect.stringContaining('false failure')]);
+    expect(violationsAfter(2)).toEqual([]);
+  });
+
+  it('reports three starts after three crashes under a task by undisturbed agents', () => {
+    const violationsOf = (starts: number, disturbed?: string): readonly string[] => {
+      const checker = create();
+      if (disturbed) checker.addDisturbance(span(disturbed));
+      for (let run = 1; run <= starts; run += 1) {
+        const fields = { run, worker: `i-${run}` };
+        const at = 10_000 + 20 * run;
+        checker.addWorkerEvents([event(at, 'start', fields), event(at + 10, 'crashed', fields)]);
+      }
+      checker.checkJob({ ...job(attempt(504)), crashingTask: 0 });
+      return checker.violations;
+    };
+    expect(violationsOf(5)).toEqual([]);
+    expect(violationsOf(6)).toEqual([expect.stringContaining('crash budget')]);
+    expect(violationsOf(6, 'agent-6')).toEqual([]);
+  });
+
   it('reports a forbidden start when its agent, the store and an entry were undisturbed', () => {
     const checker = create();
     const allowStarts = checker.forbidStarts('evacuated', (worker) => worker === 'i-0', 20_000);
--- a/marjorammast-app/tests/dispatchProcesses.test.ts
+++ b/marjorammast-app/tests/dispatchProcesses.test.ts
@@ -59,6 +59,18 @@
     expect(runs).toHaveLength(2);
   });
 
+  it('fail a job once two workers have crashed under one of its tasks', async () => {
+    nextId += 1;
+    const spec = { runMs: 200, cpu: 500, crashingTask: 1 };
+    const answer = await deployment.submit(0, idOf(nextId), 2, spec);
+    expect(answer).toMatchObject({ status: 200, body: { state: 'failed' } });
+    const crashes = deployment.workers
+      .flatMap(({ events }) => events)
+      .filter(({ task, type }) => task === `${idOf(nextId)}.0.0.1` && type === 'crashed');
+    expect(crashes).toHaveLength(2);
+    await Promise.all([0, 1].map((entry) => deployment.waitForWorkers(entry, 3)));
+  });
+
   it('refuse a job with an unsupported feature and say when to retry', async () => {
     nextId += 1;
     const answer = await deployment.submit(
--- a/packages/standins/src/WorkerStandIn.ts
+++ b/packages/standins/src/WorkerStandIn.ts
@@ -18,6 +18,10 @@
   needs: (spec: string) => Resources;
   /** Returns true when the runs of a task fail. */
   fails: (spec: string) => boolean;
+  /** Returns true when a task crashes the worker, by its index in the job. */
+  crashes: (spec: string, index: number) => boolean;
+  /** Called when the worker has crashed; the callee closes its address and calls `recover` later. */
+  onCrash: () => void;
 };
 
 /** Simulated fault of a worker. */
@@ -83,6 +87,15 @@
 /** Delay of each request under the fault `late`, in milliseconds. */
 const LATE_MS = 2_500;
 
+/** Time from the start of a task that crashes the worker to the crash, in milliseconds. */
+const CRASH_DELAY_MS = 10;
+
+/**
+ * Time for which starts may still exceed a capacity that has shrunk, in milliseconds: the time in which
+ * the system reacts to a report, as in the operators' documentation, and the period of the reports.
+ */
+const SHRINK_REACTION_MS = 3_500;
+
 /** Simulation of a worker, with the platform's HTTP protocol. */
 export class WorkerStandIn {
   /** Fault that the worker simulates at present. */
@@ -96,6 +109,14 @@
   /** One text for each start that exceeded the CPU capacity. */
   readonly overloads: string[] = [];
 
+  /** True from a crash until the worker has recovered. */
+  isDown = false;
+
+  private capacity: Resources;
+
+  /** CPU capacity before it shrank, and the monotonic time until which starts may use it. */
+  private earlierCapacity = { cpu: 0, until: 0 };
+
   /** Rate of the worker's clock relative to real time. */
   private clockRate = 1;
 
@@ -126,7 +147,9 @@
 
   private leaseTimer: NodeJS.Timeout | undefined;
 
-  private constructor(private readonly options: WorkerOptions) {}
+  private constructor(private readonly options: WorkerOptions) {
+    this.capacity = options.capacity;
+  }
 
   /**
    * @param options - properties and behaviour of the worker
@@ -143,7 +166,8 @@
 
   /** Creates the worker's next report to its agent: path and body of the request. */
   report(): { path: string; body: Record<string, unknown> } {
-    const { id, service, dataCenter, labels, capacity } = this.options;
+    const { id, service, dataCenter, labels } = this.options;
+    const { capacity } = this;
     this.reportNumber += 1;
     return {
       path: `/api/instances/${id}/heartbeat`,
@@ -170,6 +194,7 @@
       const { fault } = this;
       if (fault === 'silent') await neverResolve();
       if (fault === 'late') await sleep(LATE_MS);
+      if (this.isDown) await neverResolve();
       await next();
       if (fault === 'answerLost' || fault === 'late') await neverResolve();
     });
@@ -209,6 +234,38 @@
     this.state = 'ready';
   }
 
+  /** Restarts the worker after a crash. */
+  recover(): void {
+    this.isDown = false;
+    this.restart();
+  }
+
+  /**
+   * Changes the CPU capacity while the worker runs.
+   *
+   * @param factor - factor by which it changes
+   */
+  scaleCapacity(factor: number): void {
+    const { cpu } = this.capacity;
+    if (factor < 1) {
+      const stillAllowed = this.allowedCpu;
+      this.earlierCapacity = { cpu: stillAllowed, until: performance.now() + SHRINK_REACTION_MS };
+    }
+    this.capacity = { ...this.capacity, cpu: cpu * factor };
+  }
+
+  private get allowedCpu(): number {
+    const { cpu, until } = this.earlierCapacity;
+    return performance.now() < until ? Math.max(cpu, this.capacity.cpu) : this.capacity.cpu;
+  }
+
+  private crash(): void {
+    if (this.isDown) return;
+    this.isDown = true;
+    this.halt();
+    this.options.onCrash();
+  }
+
   private readClock(): number {
     return Math.round((performance.now() - this.clockStartedAt) * this.clockRate) + 1;
   }
@@ -255,7 +312,10 @@
     };
     this.runs.set(task, state);
     this.recordEvent(task, run, 'start');
-    this.checkCapacity();
+    this.checkCapacity(task);
+    if (this.options.crashes(spec, Number(task.split('.')[3]))) {
+      setTimeout(() => this.crash(), CRASH_DELAY_MS);
+    }
     return context.json({ clock_ms: this.readClock() });
   }
 
@@ -325,12 +385,13 @@
     this.events.push({ at: performance.now(), worker: this.options.id, task, run, type });
   }
 
-  private checkCapacity(): void {
+  private checkCapacity(task: string): void {
     const cpu = [...this.runs.values()].reduce(
       (sum, { spec }) => sum + this.options.needs(spec).cpu,
       0,
     );
-    if (cpu > this.options.capacity.cpu)
-      this.overloads.push(`${cpu} of ${this.options.capacity.cpu}`);
+    const { allowedCpu } = this;
+    if (cpu <= allowedCpu) return;
+    this.overloads.push(`${task} at ${this.options.id}: ${cpu} of ${allowedCpu}`);
   }
 }
