--- /dev/null
+++ b/packages/dispatch/src/CrashController.ts
@@ -0,0 +1,73 @@
+import type { Route, WorkerCrash } from '@marjorammast/protocol';
+import type { Log } from '@marjorammast/telemetry';
+import type { ActiveJob } from './ActiveJob';
+import { CrashRecords } from './CrashRecords';
+import type { JobOutcome } from './job';
+import { RouteConfinement } from './RouteConfinement';
+
+/** What the controller needs from its entry. */
+export type CrashControllerHost = {
+  /** Finds a job that is active at the entry. */
+  findJob: (id: string) => ActiveJob | undefined;
+  /** Finds a route by its name. */
+  findRoute: (name: string) => Route | undefined;
+  log: Log;
+};
+
+const createFailure = (index: number): JobOutcome => ({
+  type: 'failed',
+  reason: `workers crashed under task ${index}`,
+});
+
+/** Acts on crashes of workers: fails jobs whose tasks crash them, and confines the routes of such jobs. */
+export class CrashController {
+  readonly records = CrashRecords.create();
+
+  readonly confinement = RouteConfinement.create();
+
+  private constructor(private readonly host: CrashControllerHost) {}
+
+  /**
+   * @param host - what the controller needs from its entry
+   * @returns a controller that knows of no crash
+   */
+  static create(host: CrashControllerHost): CrashController {
+    return new CrashController(host);
+  }
+
+  /**
+   * Handles a crash that an agent reports.
+   *
+   * @param crash - the crash
+   */
+  handleCrash(crash: WorkerCrash): void {
+    this.records.record(crash).forEach(({ job, index, route }) => {
+      const active = this.host.findJob(job);
+      this.host.log.warn({ job, index, route, own: active !== undefined }, 'task_given_up');
+      active?.settle(createFailure(index));
+      this.confine(route);
+    });
+    crash.runs
+      .filter(({ route, isSuspect }) => isSuspect && this.confinement.isConfined(route))
+      .forEach(({ route }) => this.confine(route));
+  }
+
+  /**
+   * Finds out whether a job has to fail at once, since one of its tasks has crashed too many workers, also
+   * at another entry.
+   *
+   * @param job - identifier of the job
+   * @returns the failure, if there is one
+   */
+  findFailure(job: string): JobOutcome | undefined {
+    const index = this.records.findSpentTask(job);
+    return index === undefined ? undefined : createFailure(index);
+  }
+
+  private confine(name: string): void {
+    const route = this.host.findRoute(name);
+    if (route && this.confinement.confine(route)) {
+      this.host.log.warn({ route: name, service: route.service }, 'route_confined');
+    }
+  }
+}
--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -6,7 +6,6 @@
   RegisteredProcess,
   OperatorState,
   Route,
-  WorkerCrash,
 } from '@marjorammast/protocol';
 import { createLimitedWarning } from '@marjorammast/telemetry';
 import type { Log } from '@marjorammast/telemetry';
@@ -19,14 +18,13 @@
   DIAL_INTERVAL_MS,
   MIN_RETRY_AFTER_MS,
 } from './constants';
-import { CrashRecords } from './CrashRecords';
+import { CrashController } from './CrashController';
 import { chooseAgents, createAgentRanking } from './chooseAgents';
 import { Dispatcher } from './Dispatcher';
 import { findRoute } from './findRoute';
 import { unsupportedFeature } from './job';
 import type { JobOutcome, JobRequest } from './job';
 import { PeerClient } from './PeerClient';
-import { RouteConfinement } from './RouteConfinement';
 
 /** Receives the measurements of an entry. `ms` is the time to answer a job, in milliseconds. */
 export type EntryMeter = { answered: (route: string, outcome: string, ms: number) => void };
@@ -63,11 +61,6 @@
 
 const MAX_TASKS_PER_STEP = 1_000;
 
-const createCrashFailure = (index: number): JobOutcome => ({
-  type: 'failed',
-  reason: `workers crashed under task ${index}`,
-});
-
 /** An entry: accepts jobs from clients and answers each when its tasks have ended. */
 export class DispatchEntry {
   readonly dispatcher: Dispatcher;
@@ -90,9 +83,7 @@
 
   private readonly peerClient: PeerClient;
 
-  private readonly crashRecords = CrashRecords.create();
-
-  private readonly confinement = RouteConfinement.create();
+  private readonly crashes: CrashController;
 
   /** Highest store revision of the operator state that another process has reported. */
   private newestKnownRevision = 0;
@@ -104,13 +95,18 @@
   private constructor(private readonly options: DispatchEntryOptions) {
     this.server = this.createServer();
     this.rankOf = createAgentRanking(options.name);
+    this.crashes = CrashController.create({
+      findJob: (id) => this.jobs.get(id)?.job,
+      findRoute: (name) => this.operatorState?.routes.find((route) => route.name === name),
+      log: options.log,
+    });
     this.dispatcher = Dispatcher.create({
       dataCenter: options.dataCenter,
       connections: () => this.connections.values(),
       findConnection: (agent) => this.connections.get(agent),
       evacuatedDataCenters: () => this.rules.outDataCenters,
-      crashRecords: this.crashRecords,
-      confinement: this.confinement,
+      crashRecords: this.crashes.records,
+      confinement: this.crashes.confinement,
       random: options.random,
       log: options.log,
     });
@@ -228,7 +224,7 @@
     const startedAt = performance.now();
     const outcome =
       this.refuseUnsupported(request) ??
-      this.failCrashing(request) ??
+      this.crashes.findFailure(request.id) ??
       (await this.runJob(submission));
     const ms = performance.now() - startedAt;
     this.options.meter.answered(route.name, outcome.type, ms);
@@ -313,7 +309,7 @@
           return {};
         },
         crash: (crash) => {
-          this.handleCrash(crash);
+          this.crashes.handleCrash(crash);
           return {};
         },
         operatorState: () => ({ state: this.operatorState }),
@@ -365,31 +361,6 @@
     return undefined;
   }
 
-  /** Fails a job with a task that has crashed too many workers, also at another entry. */
-  private failCrashing({ id }: JobRequest): JobOutcome | undefined {
-    const index = this.crashRecords.findSpentTask(id);
-    return index === undefined ? undefined : createCrashFailure(index);
-  }
-
-  private handleCrash(crash: WorkerCrash): void {
-    this.crashRecords.record(crash).forEach(({ job, index, route }) => {
-      const active = this.jobs.get(job);
-      this.options.log.warn({ job, index, route, own: active !== undefined }, 'task_given_up');
-      active?.job.settle(createCrashFailure(index));
-      this.confine(route);
-    });
-    crash.runs
-      .filter(({ route, isSuspect }) => isSuspect && this.confinement.isConfined(route))
-      .forEach(({ route }) => this.confine(route));
-  }
-
-  private confine(name: string): void {
-    const route = this.operatorState?.routes.find((other) => other.name === name);
-    if (route && this.confinement.confine(route)) {
-      this.options.log.warn({ route: name, service: route.service }, 'route_confined');
-    }
-  }
-
   private async runJob({
     job: request,
     route,
@@ -491,7 +462,7 @@
       hasRuns: (agentName) => this.dispatcher.hasRuns(agentName),
       onChange: () => this.dispatcher.schedulePass(),
       onLost: (agentName) => this.dispatcher.handleAgentLoss(agentName),
-      onCrash: (crash) => this.handleCrash(crash),
+      onCrash: (crash) => this.crashes.handleCrash(crash),
       onRules: (rules) => {
         this.applyRules(rules);
         void this.catchUp(rules.revision);
--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -6,7 +6,6 @@
   Params,
   Result,
   RunEnd,
-  WorkerCrash,
   WorkerView,
 } from '@marjorammast/protocol';
 import { createLimitedWarning } from '@marjorammast/telemetry';
@@ -16,7 +15,7 @@
 import { PROBATION_MS, STOP_POLL_PERIOD_MS, UNCONFIRMED_RUN_MS } from './constants';
 import { CrashHistory } from './CrashHistory';
 import { EntryConnections } from './EntryConnections';
-import { findSuspects } from './findSuspects';
+import { createWorkerCrash } from './createWorkerCrash';
 import { SlownessEstimate, findSlowRuns } from './SlownessEstimate';
 import { WorkerHealth } from './WorkerHealth';
 import { WorkerSession } from './WorkerSession';
@@ -207,38 +206,10 @@
     this.connections.handleChange();
   }
 
-  private handleCrash({ id, born }: WorkerIdentity, lostRuns: readonly LostRun[]): void {
-    const { log, meter } = this.options;
-    const suspects = new Set(findSuspects(lostRuns));
+  private handleCrash(worker: WorkerIdentity, lostRuns: readonly LostRun[]): void {
+    const { name, log, meter } = this.options;
+    const crash = createWorkerCrash(name, worker, lostRuns, log);
     meter.crashed(lostRuns.length);
-    log.warn(
-      { worker: id, born, runs: lostRuns.length, suspects: suspects.size },
-      'worker_crashed',
-    );
-    lostRuns.forEach((lostRun) => {
-      const { run, ageMs } = lostRun;
-      const isSuspect = suspects.has(lostRun);
-      const { wasStarted: started } = run;
-      log.warn(
-        {
-          task: taskKey(run.task),
-          run: run.run,
-          ageMs: Math.round(ageMs),
-          suspect: isSuspect,
-          started,
-        },
-        'run_lost',
-      );
-    });
-    const crash: WorkerCrash = {
-      incarnation: `${id}@${born}`,
-      agent: this.options.name,
-      runs: lostRuns.map((lostRun) => {
-        const { task, route, wasStarted } = lostRun.run;
-        const { job, index } = task;
-        return { job, index, route, isSuspect: suspects.has(lostRun), wasStarted };
-      }),
-    };
     this.crashHistory.add(crash);
     this.connections.sendCrash(crash);
   }
