A job does not fail for a task that has succeeded since its workers crashed

Callers would see: failed, though all tasks succeeded or would have. Cause: a crash of a worker that only fell silent becomes known when it is back, seconds after the lease of its runs; the task may have succeeded elsewhere meanwhile. Found by reading. Evidence: CrashController.test.ts 'has succeeded since' failed before. Change: the budget of a task that is done fails nothing, and a job that is active at the entry is joined, not failed.

--- a/packages/dispatch/src/CrashController.ts
+++ b/packages/dispatch/src/CrashController.ts
@@ -42,10 +42,12 @@
    */
   handleCrash(crash: WorkerCrash): void {
     this.records.record(crash).forEach(({ job, index, route }) => {
+      this.confine(route);
       const active = this.host.findJob(job);
+      // The crash may become known only after another run of the task has succeeded.
+      if (active?.tasks[index]?.state.type === 'done') return;
       this.host.log.warn({ job, index, route, own: active !== undefined }, 'task_given_up');
       active?.settle(createFailure(index));
-      this.confine(route);
     });
     crash.runs
       .filter(({ route, isSuspect }) => isSuspect && this.confinement.isConfined(route))
@@ -53,13 +55,14 @@
   }
 
   /**
-   * Finds out whether a job has to fail at once, since one of its tasks has crashed too many workers, also
-   * at another entry.
+   * Finds out whether a job that is not active at the entry has to fail at once, since one of its tasks has
+   * crashed too many workers, also at another entry.
    *
    * @param job - identifier of the job
    * @returns the failure, if there is one
    */
   findFailure(job: string): JobOutcome | undefined {
+    if (this.host.findJob(job)) return undefined;
     const index = this.records.findSpentTask(job);
     return index === undefined ? undefined : createFailure(index);
   }
