--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -7,7 +7,6 @@
 import {
   DECLINE_PAUSE_MS,
   MAX_DISPATCH_PASS_INTERVAL_MS,
-  MAX_LOST_WORKERS_PER_TASK,
   MAX_LATENESS_FACTOR,
   RESERVED_TASKS,
   RUN_EXPIRY_MS,
@@ -17,6 +16,8 @@
 import { findRefusal } from './findRefusal';
 import type { Refusal } from './findRefusal';
 import { groupWaitingTasks } from './groupWaitingTasks';
+import type { TaskGroup } from './groupWaitingTasks';
+import { mustWaitForWorkers } from './mustWaitForWorkers';
 import { OutstandingRuns } from './OutstandingRuns';
 import type { OutstandingRun } from './OutstandingRuns';
 import { placeTasks } from './placeTasks';
@@ -221,44 +222,49 @@
     const { bestSlowness } = rooms;
     const slackMs = objectiveAt - performance.now();
     const goal = { estimateMs: step.estimateMs, slackMs, bestSlowness };
-    const isSuspect = (index: number) => this.host.crashRecords.isSuspect(job.id, index);
-    const isHeld = (index: number) => this.isHeld(job, index);
     [RESERVED_TASKS, 0].forEach((reservedTasks) => {
-      groupWaitingTasks(job, isSuspect, isHeld).forEach(
-        ({ indexes, avoidedAgents, isSuspect: areSuspects }) => {
-          const candidates = rooms.findCandidates(step, avoidedAgents, reservedTasks);
-          if (candidates.length === 0) return;
-          const count = indexes.length;
-          let assignedCount = 0;
-          placeTasks(candidates, { ...goal, count }, this.host.random).forEach((placement) => {
-            const end = assignedCount + placement.count;
-            const group = indexes.slice(assignedCount, end);
-            const hasFailedElsewhere = [...avoidedAgents].some((name) => name !== placement.agent);
-            const traits = { bestSlowness, isSuspect: areSuspects, hasFailedElsewhere };
-            this.assign(job, placement, group, traits);
-            rooms.refresh(placement.agent);
-            assignedCount = end;
-          });
-        },
+      const groups = groupWaitingTasks(
+        job,
+        (index) => this.host.crashRecords.isSuspect(job.id, index),
+        (index) => this.mustWait(job, index),
       );
+      groups.forEach((group) => {
+        const candidates = rooms.findCandidates(step, group.avoidedAgents, reservedTasks);
+        const placements = placeTasks(
+          candidates,
+          { ...goal, count: group.indexes.length },
+          this.host.random,
+        );
+        this.assignGroup(job, group, placements, rooms);
+      });
     });
     const waitingTasks = job.waitingTasks.length;
     load.placedWork += workOf(step, waitingBefore - waitingTasks);
     if (waitingTasks === 0) this.queue.delete(job);
   }
 
-  /**
-   * Tells whether a task waits for word of a worker that was lost with it: the worker may have crashed,
-   * and then too many have.
-   */
-  private isHeld({ id, tasks }: ActiveJob, index: number): boolean {
-    const lostAgents = tasks[index]?.lostAgents ?? new Set<string>();
-    lostAgents.forEach((agent) => {
-      if (this.isBack(agent)) lostAgents.delete(agent);
+  private assignGroup(
+    job: ActiveJob,
+    { indexes, avoidedAgents, isSuspect }: TaskGroup,
+    placements: readonly Placement[],
+    rooms: WorkerRooms,
+  ): void {
+    let assignedCount = 0;
+    placements.forEach((placement) => {
+      const end = assignedCount + placement.count;
+      const hasFailedElsewhere = [...avoidedAgents].some((name) => name !== placement.agent);
+      const traits = { bestSlowness: rooms.bestSlowness, isSuspect, hasFailedElsewhere };
+      this.assign(job, placement, indexes.slice(assignedCount, end), traits);
+      rooms.refresh(placement.agent);
+      assignedCount = end;
     });
-    const crashedAgents = new Set(this.host.crashRecords.agentsOf(id, index));
-    const unexplained = [...lostAgents].filter((agent) => !crashedAgents.has(agent)).length;
-    return unexplained > 0 && unexplained + crashedAgents.size >= MAX_LOST_WORKERS_PER_TASK;
+  }
+
+  private mustWait({ id, tasks }: ActiveJob, index: number): boolean {
+    const lostAgents = tasks[index]?.lostAgents;
+    if (!lostAgents || lostAgents.size === 0) return false;
+    const crashedAgents = this.host.crashRecords.agentsOf(id, index);
+    return mustWaitForWorkers(lostAgents, crashedAgents, (agent) => this.isBack(agent));
   }
 
   /** Tells whether an agent's worker takes tasks, or nothing more will be heard from the agent. */
--- a/packages/dispatch/src/groupWaitingTasks.ts
+++ b/packages/dispatch/src/groupWaitingTasks.ts
@@ -17,15 +17,15 @@
  *
  * @param job - the job
  * @param isSuspect - tells whether a task is suspected to have crashed a worker
- * @param isHeld - tells whether a task has to wait until workers that were lost with it are back
+ * @param mustWait - tells whether a task must not be started now
  * @returns the groups in the order in which they are placed
  */
 export const groupWaitingTasks = (
   job: ActiveJob,
   isSuspect: (index: number) => boolean,
-  isHeld: (index: number) => boolean,
+  mustWait: (index: number) => boolean,
 ): TaskGroup[] => {
-  const placeable = job.waitingTasks.filter((index) => !isHeld(index));
+  const placeable = job.waitingTasks.filter((index) => !mustWait(index));
   const tasks = placeable.map((index) => ({
     index,
     avoidedAgents: job.tasks[index]?.avoidedAgents ?? new Set<string>(),
