A single request that crashes its targets is repeated once, not twenty times

Callers would see: one idempotent request of our own interface takes out target after target until its deadline. Found while looking for the cause elsewhere. Change: unknown outcomes are counted by task; after the second the answer says that the request may have run.

--- a/packages/entry/src/Dispatcher.ts
+++ b/packages/entry/src/Dispatcher.ts
@@ -8,6 +8,7 @@
   CREDIT_REQUEST_MS,
   AGE_MARGIN_MS,
   MAX_REQUEUES_PER_TASK,
+  MAX_UNKNOWN_OUTCOMES,
 } from './constants';
 import { FairQueue } from './FairQueue';
 import type { QueueShares, QueuedTask } from './FairQueue';
@@ -239,8 +240,7 @@
   }
 
   private finish(job: Job, index: number, outcome: Outcome): void {
-    const mayRepeat = outcome.type === 'unknown' && job.submission?.idempotent && job.isOpen;
-    if (mayRepeat && job.requeues < MAX_REQUEUES_PER_TASK) {
+    if (outcome.type === 'unknown' && this.mayRepeat(job, index)) {
       this.requeue(job, index);
       return;
     }
@@ -248,6 +248,12 @@
     this.host.conclude(job);
   }
 
+  /** Counts an unknown outcome of a task and decides whether the task may run again. */
+  private mayRepeat(job: Job, index: number): boolean {
+    const hasBudget = job.countUnknownOutcome(index) < MAX_UNKNOWN_OUTCOMES;
+    return hasBudget && job.isOpen && job.submission?.idempotent === true;
+  }
+
   private handleRefusal(job: Job, index: number, agent: ConnectedAgent, refusal: Refusal): void {
     this.host.metrics.count('starts.refused', 1, { refusal });
     match(refusal)
--- a/packages/entry/src/Job.ts
+++ b/packages/entry/src/Job.ts
@@ -57,6 +57,9 @@
   /** Number of times that a task of the job returned to the queue after a start. */
   requeues = 0;
 
+  /** Number of unknown outcomes, by task. */
+  private readonly unknownOutcomes = new Map<number, number>();
+
   private waiters: ((reply: Reply) => void)[] = [];
 
   private constructor(
@@ -137,6 +140,18 @@
     else this.failedIndex ??= index;
   }
 
+  /**
+   * Counts an unknown outcome of a task.
+   *
+   * @param index - index of the task
+   * @returns number of unknown outcomes of the task, with this one
+   */
+  countUnknownOutcome(index: number): number {
+    const count = (this.unknownOutcomes.get(index) ?? 0) + 1;
+    this.unknownOutcomes.set(index, count);
+    return count;
+  }
+
   /** Indexes of the tasks that have not been sent to an agent. */
   get waiting(): number[] {
     return [...this.tasks.keys()].filter((index) => this.tasks[index]?.type === 'waiting');
--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -39,11 +39,16 @@
 
 /**
  * Limit of requeues: a job fails when its tasks have returned to the queue after a start more often
- * than this number times the number of its tasks. After an unknown outcome, a task of an idempotent
- * submission is requeued only while the requeues of the job are fewer than this number.
+ * than this number times the number of its tasks.
  */
 export const MAX_REQUEUES_PER_TASK = 20;
 
+/**
+ * Number of unknown outcomes of a task of an idempotent submission after which it is not repeated: it may
+ * be the task that crashes the targets that run it.
+ */
+export const MAX_UNKNOWN_OUTCOMES = 2;
+
 /** Delay after which a refused client is asked to retry (`Retry-After`), in milliseconds. */
 export const RETRY_AFTER_MS = 1_000;
 
