The soak reports the largest number of crashes under one task

Cause: the number of violations alone does not show how near a run came to the bound. Change: mostCrashes in the report.

--- a/marjorammast-app/src/soak/Soak.ts
+++ b/marjorammast-app/src/soak/Soak.ts
@@ -32,6 +32,8 @@
   jobs: number;
   /** Number of runs that workers started. */
   starts: number;
+  /** Largest number of crashes under one task that crashes its workers. */
+  mostCrashes: number;
   /** Number of drawn faults. */
   faults: number;
   /** Number of calls by HTTP status, `broken` or `left`. */
@@ -173,6 +175,7 @@
       violations: this.checker.violations,
       jobs: clients.jobs,
       starts: this.checker.starts,
+      mostCrashes: this.checker.mostCrashesOfTask,
       faults: this.faultCount,
       outcomes: Object.fromEntries(clients.outcomes),
       logs: deployment.logFolder,
--- a/marjorammast-app/src/soak/SoakChecker.ts
+++ b/marjorammast-app/src/soak/SoakChecker.ts
@@ -71,6 +71,8 @@
 
   private startCount = 0;
 
+  private mostCrashes = 0;
+
   /** Start event of each run that has not ended, by task. */
   private readonly openRuns = new Map<string, WorkerEvent>();
 
@@ -93,6 +95,11 @@
     return this.startCount;
   }
 
+  /** Largest number of crashes under one task that crashes its workers. */
+  get mostCrashesOfTask(): number {
+    return this.mostCrashes;
+  }
+
   /**
    * Records a violated guarantee.
    *
@@ -216,6 +223,7 @@
     if (crashingTask === undefined) return;
     const ofTask = events.filter(({ task }) => task === `${id}.0.0.${crashingTask}`);
     const crashes = ofTask.filter(({ type }) => type === 'crashed');
+    this.mostCrashes = Math.max(this.mostCrashes, crashes.length);
     const countedFrom = crashes[COUNTED_FROM_CRASHES - 1]?.at ?? Infinity;
     const furtherStarts = ofTask.filter(
       ({ type, at, worker }) =>
--- a/marjorammast-app/tests/SoakChecker.test.ts
+++ b/marjorammast-app/tests/SoakChecker.test.ts
@@ -114,6 +114,7 @@
         checker.addWorkerEvents([event(at, 'start', fields), event(at + 10, 'crashed', fields)]);
       }
       checker.checkJob({ ...job(attempt(504)), crashingTask: 0 });
+      expect(checker.mostCrashesOfTask).toBe(starts);
       return checker.violations;
     };
     expect(violationsOf(5)).toEqual([]);
