All entries know which workers were lost with a task, incarnation by incarnation

Callers would see: worker after worker taken out by one task whose crashes show only as silence, although the task waits for lost workers since. (1) An entry knew only of the losses of its own runs; after its end, or a second call at another entry, the wait began anew. (2) A lost worker counted as explained as soon as an earlier incarnation of it had crashed under the task. Evidence: generated schedules in workerCrashes.test.ts. Ruled out: an entry that asks its peers (it may be gone); counting silence as a crash. Change: an agent reports the loss of runs with a silent worker to all attached entries, and for a minute to those that attach, as it does with crashes. CrashRecords keeps lost workers by task and incarnation, also for jobs that are not active here. An entry counts a lapsed run by itself only when the agent is lost too. mustWaitForWorkers is now a rule on two numbers; the sets that its test checked are checked in CrashRecords.test.ts, by property and for all three cases, since the records now delete those that are back. The test of the Dispatcher records the loss as agents report it.

--- a/packages/dispatch/src/ActiveJob.ts
+++ b/packages/dispatch/src/ActiveJob.ts
@@ -16,8 +16,6 @@
   failures: number;
   /** Names of the agents on whose workers the task has failed or stalled. */
   avoidedAgents: Set<string>;
-  /** Names of the agents whose workers were lost with a run of the task and are not back. */
-  lostAgents: Set<string>;
 };
 
 /** A job that this entry has accepted and not answered. */
@@ -48,7 +46,6 @@
       run: 0,
       failures: 0,
       avoidedAgents: new Set<string>(),
-      lostAgents: new Set<string>(),
     }));
   }
 
--- a/packages/dispatch/src/CrashController.ts
+++ b/packages/dispatch/src/CrashController.ts
@@ -36,11 +36,15 @@
   }
 
   /**
-   * Handles a crash that an agent reports.
+   * Handles a crash that an agent reports, or the silence of a worker that may have crashed.
    *
    * @param crash - the crash
    */
   handleCrash(crash: WorkerCrash): void {
+    if (!crash.isCertain) {
+      this.records.recordLoss(crash.agent, crash.runs, crash.incarnation);
+      return;
+    }
     this.records.record(crash).forEach(({ job, index, route }) => {
       this.confine(route);
       const active = this.host.findJob(job);
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -17,7 +17,6 @@
 import type { Refusal } from './findRefusal';
 import { groupWaitingTasks } from './groupWaitingTasks';
 import type { TaskGroup } from './groupWaitingTasks';
-import { mustWaitForWorkers } from './mustWaitForWorkers';
 import { OutstandingRuns } from './OutstandingRuns';
 import type { OutstandingRun } from './OutstandingRuns';
 import { placeTasks } from './placeTasks';
@@ -218,6 +217,7 @@
     this.refuseIfHopeless(job, rooms);
     if (!job.isOpen) return;
     const { step, objectiveAt } = job;
+    const { crashRecords } = this.host;
     const waitingBefore = job.waitingTasks.length;
     const { bestSlowness } = rooms;
     const slackMs = objectiveAt - performance.now();
@@ -225,8 +225,8 @@
     [RESERVED_TASKS, 0].forEach((reservedTasks) => {
       const groups = groupWaitingTasks(
         job,
-        (index) => this.host.crashRecords.isSuspect(job.id, index),
-        (index) => this.mustWait(job, index),
+        (index) => crashRecords.isSuspect(job.id, index),
+        (index) => crashRecords.mustWait(job.id, index, (agent) => this.isBack(agent)),
       );
       groups.forEach((group) => {
         const candidates = rooms.findCandidates(step, group.avoidedAgents, reservedTasks);
@@ -260,13 +260,6 @@
     });
   }
 
-  private mustWait({ id, tasks }: ActiveJob, index: number): boolean {
-    const lostAgents = tasks[index]?.lostAgents;
-    if (!lostAgents || lostAgents.size === 0) return false;
-    const crashedAgents = this.host.crashRecords.agentsOf(id, index);
-    return mustWaitForWorkers(lostAgents, crashedAgents, (agent) => this.isBack(agent));
-  }
-
   /** Tells whether an agent's worker takes tasks, or nothing more will be heard from the agent. */
   private isBack(agent: string): boolean {
     const connection = this.host.findConnection(agent);
@@ -394,7 +387,9 @@
   }
 
   private expireRun(agent: string, { job, index, run }: OutstandingRun): void {
-    if (job.isOpen && job.isAssigned(index, agent, run)) this.applyEnd(job, index, agent, 'lapsed');
+    if (!job.isOpen || !job.isAssigned(index, agent, run)) return;
+    this.host.crashRecords.recordLoss(agent, [{ job: job.id, index }]);
+    this.applyEnd(job, index, agent, 'lapsed');
   }
 
   private applyEnd(job: ActiveJob, index: number, agent: string, end: RunEnd): void {
@@ -421,11 +416,7 @@
         this.requeueAfterEnd(job, index);
       })
       .with('lapsed', () => {
-        task.lostAgents.add(agent);
-        this.host.log.info(
-          { job: job.id, index, agent, run: task.run, lost: task.lostAgents.size },
-          'task_lapsed',
-        );
+        this.host.log.info({ job: job.id, index, agent, run: task.run }, 'task_lapsed');
         this.requeueAfterEnd(job, index);
       })
       .with('stopped', () => this.requeueAfterEnd(job, index))
--- a/packages/dispatch/src/chooseAgents.ts
+++ b/packages/dispatch/src/chooseAgents.ts
@@ -3,8 +3,8 @@
 import { MAX_ATTACHED_AGENTS } from './constants';
 
 /**
- * Ranks agents for an entry, or for a route, by a hash of both names (rendezvous hashing). The ranks are kept, since all
- * agents are ranked again whenever one of them registers.
+ * Ranks agents for an entry, or for a route, by a hash of both names (rendezvous hashing). The ranks are
+ * kept, since all agents are ranked again whenever one of them registers.
  *
  * @param owner - name of the entry or the route
  * @returns the rank of an agent by its name; lower ranks come first
--- a/packages/dispatch/src/mustWaitForWorkers.ts
+++ b/packages/dispatch/src/mustWaitForWorkers.ts
@@ -6,20 +6,9 @@
  * when the worker is back. Until then the task must not take out further workers; it is not given up
  * either, since a silent worker may not have crashed.
  *
- * @param lostAgents - agents whose workers were lost with a run of the task; those that are back are removed
- * @param crashedAgents - agents whose workers are known to have crashed under the task
- * @param isBack - tells whether an agent's worker is back, or nothing more will be heard from the agent
+ * @param silentWorkers - number of workers that were lost with a run of the task and may have crashed
+ * @param crashedWorkers - number of workers that are known to have crashed under the task
  * @returns true when the task must not be started now
  */
-export const mustWaitForWorkers = (
-  lostAgents: Set<string>,
-  crashedAgents: readonly string[],
-  isBack: (agent: string) => boolean,
-): boolean => {
-  lostAgents.forEach((agent) => {
-    if (isBack(agent)) lostAgents.delete(agent);
-  });
-  const crashed = new Set(crashedAgents);
-  const unexplained = [...lostAgents].filter((agent) => !crashed.has(agent)).length;
-  return unexplained > 0 && unexplained + crashed.size >= MAX_LOST_WORKERS_PER_TASK;
-};
+export const mustWaitForWorkers = (silentWorkers: number, crashedWorkers: number): boolean =>
+  silentWorkers > 0 && silentWorkers + crashedWorkers >= MAX_LOST_WORKERS_PER_TASK;
--- a/packages/dispatch/tests/CrashController.test.ts
+++ b/packages/dispatch/tests/CrashController.test.ts
@@ -6,6 +6,7 @@
 const JOB = 'a';
 
 const createCrash = (worker: string, index = 0): WorkerCrash => ({
+  isCertain: true,
   incarnation: worker,
   agent: worker,
   runs: [{ job: JOB, index, route: testRoute.name, isSuspect: true, wasStarted: true }],
--- a/packages/dispatch/tests/CrashRecords.test.ts
+++ b/packages/dispatch/tests/CrashRecords.test.ts
@@ -9,6 +9,7 @@
   isSuspect = true,
   wasStarted = true,
 ): WorkerCrash => ({
+  isCertain: true,
   incarnation,
   agent: incarnation,
   runs: [{ job: 'a', index, route: 'claims', isSuspect, wasStarted }],
@@ -72,13 +73,53 @@
     jest.advanceTimersByTime(CRASH_RETENTION_MS - 1);
     records.record(createCrash('w1'));
     jest.advanceTimersByTime(CRASH_RETENTION_MS - 1);
-    records.record({ incarnation: 'w2', agent: 'w2', runs: [] });
+    records.record({ isCertain: true, incarnation: 'w2', agent: 'w2', runs: [] });
     expect(records.isSuspect('a', 0)).toBe(true);
     jest.advanceTimersByTime(2);
     const [run] = createCrash('w2').runs;
-    if (run) records.record({ incarnation: 'w2', agent: 'w2', runs: [{ ...run, job: 'b' }] });
+    if (run)
+      records.record({
+        isCertain: true,
+        incarnation: 'w2',
+        agent: 'w2',
+        runs: [{ ...run, job: 'b' }],
+      });
     expect(records.isSuspect('a', 0)).toBe(false);
     expect(records.isSuspect('b', 0)).toBe(true);
     jest.useRealTimers();
   });
+
+  const names = fc.subarray(['a', 'b', 'c', 'd', 'e']);
+
+  it('makes a task wait for lost workers until their crash is known or they are back', () => {
+    fc.assert(
+      fc.property(names, names, names, (lost, crashed, back) => {
+        const records = CrashRecords.create();
+        lost.forEach((name) => records.recordLoss(name, [{ job: 'a', index: 0 }], name));
+        crashed.forEach((name) => records.record(createCrash(name, 0, false)));
+        const silent = lost.filter((name) => !back.includes(name) && !crashed.includes(name));
+        const mustWait = silent.length > 0 && silent.length + crashed.length >= 3;
+        expect(records.mustWait('a', 0, (agent) => back.includes(agent))).toBe(mustWait);
+      }),
+      { seed: 1 },
+    );
+  });
+
+  // Guards against a task that is started without limit by workers that crash under it again and again.
+  it('makes a task wait for a worker that is lost again after an earlier crash under the task', () => {
+    const records = CrashRecords.create();
+    ['w1', 'w2', 'w3'].forEach((name) => records.record(createCrash(name, 0, false, false)));
+    expect(records.mustWait('a', 0, () => false)).toBe(false);
+    records.recordLoss('w1', [{ job: 'a', index: 0 }], 'w1, next incarnation');
+    expect(records.mustWait('a', 0, () => false)).toBe(true);
+    expect(records.mustWait('a', 0, () => true)).toBe(false);
+  });
+
+  it('makes a task wait once for a worker whose agent was lost too', () => {
+    const records = CrashRecords.create();
+    ['w1', 'w2', 'w3'].forEach((name) => records.recordLoss(name, [{ job: 'a', index: 0 }]));
+    expect(records.mustWait('a', 0, () => false)).toBe(true);
+    ['w1', 'w2', 'w3'].forEach((name) => records.record(createCrash(name, 0, false, false)));
+    expect(records.mustWait('a', 0, () => false)).toBe(false);
+  });
 });
--- a/packages/dispatch/tests/Dispatcher.test.ts
+++ b/packages/dispatch/tests/Dispatcher.test.ts
@@ -38,13 +38,16 @@
   return { connection: connection as unknown as AgentConnection, assigned };
 };
 
-const createDispatcher = (agents: readonly AgentConnection[]): Dispatcher =>
+const createDispatcher = (
+  agents: readonly AgentConnection[],
+  crashRecords = CrashRecords.create(),
+): Dispatcher =>
   Dispatcher.create({
     dataCenter: 'one',
     connections: () => agents,
     findConnection: (name) => agents.find((agent) => agent.name === name),
     evacuatedDataCenters: () => [],
-    crashRecords: CrashRecords.create(),
+    crashRecords,
     confinement: RouteConfinement.create(),
     random: () => 0,
     log: createLog('dispatcher', 'silent'),
@@ -88,7 +91,11 @@
   // Guards against one task that takes out one worker after the other while nobody knows that they crash.
   it('starts no task that three workers were lost with until one of them is back', async () => {
     const agents = ['a', 'b', 'c', 'd'].map((name) => createFakeAgent(name, 1, 5));
-    const dispatcher = createDispatcher(agents.map(({ connection }) => connection));
+    const crashRecords = CrashRecords.create();
+    const dispatcher = createDispatcher(
+      agents.map(({ connection }) => connection),
+      crashRecords,
+    );
     dispatcher.add(createTestJob(1, 100));
     const countAssigned = () => agents.flatMap(({ assigned }) => assigned).length;
     for (let run = 1; run <= 3; run += 1) {
@@ -96,7 +103,9 @@
       expect(countAssigned()).toBe(run);
       const lost = agents.find(({ assigned }) => assigned.slice(-1)[0]?.runs[0]?.[1] === run);
       Object.assign(lost?.connection.view ?? {}, { state: 'closed' });
-      dispatcher.handleRunEnds(lost?.connection.name ?? '', [['a', 0, run, 'lapsed', 800]]);
+      const name = lost?.connection.name ?? '';
+      crashRecords.recordLoss(name, [{ job: 'a', index: 0 }], `${name}@1`);
+      dispatcher.handleRunEnds(name, [['a', 0, run, 'lapsed', 800]]);
     }
     await jest.advanceTimersByTimeAsync(1_000);
     expect(countAssigned()).toBe(3);
--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -6,6 +6,7 @@
   Params,
   Result,
   RunEnd,
+  WorkerCrash,
   WorkerView,
 } from '@marjorammast/protocol';
 import { createLimitedWarning } from '@marjorammast/telemetry';
@@ -15,7 +16,7 @@
 import { PROBATION_MS, STOP_POLL_PERIOD_MS, UNCONFIRMED_RUN_MS } from './constants';
 import { CrashHistory } from './CrashHistory';
 import { EntryConnections } from './EntryConnections';
-import { createWorkerCrash } from './createWorkerCrash';
+import { createWorkerCrash, createWorkerLoss } from './createWorkerCrash';
 import { SlownessEstimate, findSlowRuns } from './SlownessEstimate';
 import { WorkerHealth } from './WorkerHealth';
 import { WorkerSession } from './WorkerSession';
@@ -187,6 +188,8 @@
       findRunsToMove: (runs: readonly Run[]) => this.findRunsToMove(runs),
       onReplaced: () => this.endSession('another incarnation answered', true),
       onCrashed: (lostRuns: readonly LostRun[]) => this.handleCrash(firstReport, lostRuns),
+      onLost: (runs: readonly Run[]) =>
+        this.reportCrash(createWorkerLoss(this.options.name, firstReport, runs)),
       log: this.options.log,
     };
     this.session = WorkerSession.create(firstReport, host, this.handover);
@@ -210,6 +213,10 @@
     const { name, log, meter } = this.options;
     const crash = createWorkerCrash(name, worker, lostRuns, log);
     meter.crashed(lostRuns.length);
+    this.reportCrash(crash);
+  }
+
+  private reportCrash(crash: WorkerCrash): void {
     this.crashHistory.add(crash);
     this.connections.sendCrash(crash);
   }
--- a/packages/gate/src/WorkerSession.ts
+++ b/packages/gate/src/WorkerSession.ts
@@ -52,6 +52,8 @@
   onReplaced: () => void;
   /** Called once the worker is known to have crashed, with the runs that it had. */
   onCrashed: (lostRuns: readonly LostRun[]) => void;
+  /** Called with the runs whose leases have expired while the worker was silent. */
+  onLost: (runs: readonly Run[]) => void;
   log: Log;
 };
 
@@ -536,6 +538,7 @@
     this.isReconciled = false;
     const runs = [...this.runs.values()];
     this.lapsedRuns.push(...runs);
+    this.host.onLost(runs);
     runs.forEach((run) => this.removeRun(run, 'lapsed'));
   }
 
--- a/packages/gate/src/createWorkerCrash.ts
+++ b/packages/gate/src/createWorkerCrash.ts
@@ -2,9 +2,34 @@
 import { taskKey } from '@marjorammast/protocol';
 import type { Log } from '@marjorammast/telemetry';
 import { findSuspects } from './findSuspects';
-import type { LostRun } from './run';
+import type { LostRun, Run } from './run';
 import type { WorkerIdentity } from './WorkerClient';
 
+/**
+ * Creates the report that runs were lost with a worker that may have crashed, or may only be silent.
+ *
+ * @param agent - name of the agent
+ * @param worker - the silent incarnation
+ * @param runs - the runs whose leases have expired
+ * @returns the report for the entries
+ */
+export const createWorkerLoss = (
+  agent: string,
+  { id, born }: WorkerIdentity,
+  runs: readonly Run[],
+): WorkerCrash => ({
+  isCertain: false,
+  incarnation: `${id}@${born}`,
+  agent,
+  runs: runs.map(({ task: { job, index }, route, wasStarted }) => ({
+    job,
+    index,
+    route,
+    isSuspect: false,
+    wasStarted,
+  })),
+});
+
 /**
  * Creates the report of a crash and logs it, with one line for each lost run.
  *
@@ -38,5 +63,5 @@
     );
     return { job: task.job, index: task.index, route, isSuspect, wasStarted };
   });
-  return { incarnation: `${id}@${born}`, agent, runs };
+  return { isCertain: true, incarnation: `${id}@${born}`, agent, runs };
 };
--- a/packages/gate/tests/WorkerSession.test.ts
+++ b/packages/gate/tests/WorkerSession.test.ts
@@ -100,6 +100,7 @@
     findRunsToMove: () => [],
     onReplaced: jest.fn(),
     onCrashed: jest.fn(),
+    onLost: jest.fn(),
     log: createLog('session', 'silent'),
   };
   const session = WorkerSession.create(report, host, handover);
--- a/packages/proofs/tests/support/dispatchSchedule.ts
+++ b/packages/proofs/tests/support/dispatchSchedule.ts
@@ -131,6 +131,44 @@
   jobs: fc.array(plannedJob, { minLength: 3, maxLength: 40 }),
 });
 
+/** Number of agents of the schedules with crashing tasks. */
+export const CRASH_SCHEDULE_AGENTS = 8;
+
+const faultBesideCrashes: fc.Arbitrary<PlannedDispatchFault> = fc.record({
+  type: fc.constantFrom('killEntry', 'silent', 'reborn', 'leaves', 'shrink', 'shrinkUnseen'),
+  atMs: fc.integer({ min: 0, max: SCHEDULE_MS }),
+  forMs: fc.integer({ min: 30, max: 3_000 }),
+  node: fc.nat({ max: CRASH_SCHEDULE_AGENTS - 1 }),
+  other: fc.nat({ max: ENTRIES - 1 }),
+});
+
+const crashingJob: fc.Arbitrary<PlannedDispatchJob> = fc.record({
+  atMs: fc.integer({ min: 0, max: SCHEDULE_MS }),
+  entry: fc.nat({ max: ENTRIES - 1 }),
+  tasks: fc.integer({ min: 1, max: 4 }),
+  runMs: fc.integer({ min: 300, max: 1_000 }),
+  cpu: fc.integer({ min: 400, max: 1_500 }),
+  fails: fc.constant(false),
+  crashingTask: fc.constant(0),
+  crashAfterMs: fc.constantFrom(0, 10, 250),
+  isCrashSilent: fc.boolean(),
+  deadlineMs: fc.integer({ min: 2_000, max: 12_000 }),
+  giveUpMs: fc.constant(undefined),
+  sendsAgain: fc.constant(true),
+});
+
+/** Generates schedules in which some jobs have a task that crashes workers, beside other faults. */
+export const crashScheduleArbitrary: fc.Arbitrary<DispatchSchedule> = fc.record({
+  seed: fc.integer({ min: 1, max: 1_000_000 }),
+  faults: fc.array(faultBesideCrashes, { maxLength: 4 }),
+  jobs: fc
+    .tuple(
+      fc.array(crashingJob, { minLength: 1, maxLength: 4 }),
+      fc.array(plannedJob, { maxLength: 25 }),
+    )
+    .map(([crashing, others]) => [...crashing, ...others]),
+});
+
 /** Begins a fault if `isOn` is true, and ends it otherwise. */
 const applyFault = (
   simulation: DispatchSimulation,
--- a/packages/proofs/tests/workerCrashes.test.ts
+++ b/packages/proofs/tests/workerCrashes.test.ts
@@ -1,10 +1,21 @@
+import fc from 'fast-check';
 import { checkDispatchGuarantees } from './support/DispatchSimulation';
 import type { DispatchSimulation } from './support/DispatchSimulation';
-import { runDispatchSchedule } from './support/dispatchSchedule';
+import {
+  CRASH_SCHEDULE_AGENTS,
+  crashScheduleArbitrary,
+  runDispatchSchedule,
+} from './support/dispatchSchedule';
 import type { PlannedDispatchFault, PlannedDispatchJob } from './support/dispatchSchedule';
 
 const AGENTS = 8;
 
+/** Number of generated schedules; set by `FAULT_RUNS`. */
+const SCHEDULE_COUNT = Number(process.env['FAULT_RUNS'] ?? 60);
+
+/** Seed of the generated schedules; `FAULT_SEED` adds an offset to run others. */
+const SEED = 53_001 + Number(process.env['FAULT_SEED'] ?? 0);
+
 const createJob = (fields: Partial<PlannedDispatchJob>): PlannedDispatchJob => ({
   atMs: 0,
   entry: 0,
@@ -90,6 +101,16 @@
     expect(outcomes).toEqual(Array(others.length).fill('completed'));
   });
 
+  it('keep to all guarantees in every generated schedule', async () => {
+    await fc.assert(
+      fc.asyncProperty(crashScheduleArbitrary, async (schedule) => {
+        const simulation = await runDispatchSchedule(schedule, CRASH_SCHEDULE_AGENTS);
+        expect(checkDispatchGuarantees(simulation)).toEqual([]);
+      }),
+      { seed: SEED, numRuns: SCHEDULE_COUNT, endOnFailure: false },
+    );
+  }, 1_800_000);
+
   // The load: every third job of one route has a task that crashes its worker, while another route sends
   // twice as many jobs.
   it('leave room for the jobs of other routes', async () => {
--- a/packages/protocol/src/dispatchMessages.ts
+++ b/packages/protocol/src/dispatchMessages.ts
@@ -54,8 +54,10 @@
  */
 export const runEndSchema = z.enum(['done', 'failed', 'stopped', 'stalled', 'lapsed', 'notRun']);
 
-/** Crash of one incarnation of a worker. */
+/** Crash of one incarnation of a worker, or its silence, which may be a crash. */
 export const workerCrashSchema = z.object({
+  /** False while it is not known whether the worker has crashed or only does not answer. */
+  isCertain: z.boolean().default(true),
   /** Identifies the incarnation. */
   incarnation: z.string(),
   /** Name of the worker's agent. */
@@ -191,7 +193,10 @@
     }),
     result: z.object({}),
   },
-  /** Agent to entry: the worker has crashed. The ends of its runs follow once they are certain. */
+  /**
+   * Agent to entry: the worker has crashed, or was silent until the leases of its runs had expired. The ends
+   * of its runs are reported by themselves, once they are certain.
+   */
   crash: { params: workerCrashSchema, result: z.object({}) },
   /** Agent to entry: the worker's state or its free resources have changed. */
   view: { params: workerViewSchema, result: z.object({}) },
