--- a/packages/gate/src/EntryConnections.ts
+++ b/packages/gate/src/EntryConnections.ts
@@ -186,7 +186,7 @@
   /**
    * Reports a crash of the worker to all entries.
    *
-   * @param crash - the crash
+   * @param crash - the crash, or the silence of a worker that may have crashed
    */
   sendCrash(crash: WorkerCrash): void {
     this.connections.forEach(({ link }) => link.notify('crash', crash));
