Reports of crashes, lost runs and guarantee checks in modules of their own

Change, without any of behaviour: CrashReports (was CrashHistory) creates, keeps and sends the reports; LostRuns knows what a crash has taken along; createRun; checkDispatchGuarantees has one function a rule, with the same conditions. Figures: 164 tests of gate, dispatch, protocol and the schedules pass, with 150 generated crash schedules; the planted violations of checkDispatchGuarantees.test.ts are all still found.

--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -6,7 +6,6 @@
   Params,
   Result,
   RunEnd,
-  WorkerCrash,
   WorkerView,
 } from '@marjorammast/protocol';
 import { createLimitedWarning } from '@marjorammast/telemetry';
@@ -14,9 +13,9 @@
 import { admit } from './admit';
 import type { AdmissionState } from './admit';
 import { PROBATION_MS, STOP_POLL_PERIOD_MS, UNCONFIRMED_RUN_MS } from './constants';
-import { CrashHistory } from './CrashHistory';
+import { CrashReports } from './CrashReports';
+import { createRun } from './createRun';
 import { EntryConnections } from './EntryConnections';
-import { createWorkerCrash, createWorkerLoss } from './createWorkerCrash';
 import { SlownessEstimate, findSlowRuns } from './SlownessEstimate';
 import { WorkerHealth } from './WorkerHealth';
 import { WorkerSession } from './WorkerSession';
@@ -66,7 +65,7 @@
 
   private readonly connections: EntryConnections;
 
-  private readonly crashHistory = CrashHistory.create();
+  private readonly crashReports: CrashReports;
 
   private slowness = SlownessEstimate.create();
 
@@ -83,6 +82,11 @@
       onDetached: (id) => this.stopRuns((run) => run.ownerId === id),
       log: options.log,
     });
+    this.crashReports = CrashReports.create({
+      name: options.name,
+      send: (report) => this.connections.sendCrash(report),
+      log: options.log,
+    });
   }
 
   /**
@@ -188,8 +192,7 @@
       findRunsToMove: (runs: readonly Run[]) => this.findRunsToMove(runs),
       onReplaced: () => this.endSession('another incarnation answered', true),
       onCrashed: (lostRuns: readonly LostRun[]) => this.handleCrash(firstReport, lostRuns),
-      onLost: (runs: readonly Run[]) =>
-        this.reportCrash(createWorkerLoss(this.options.name, firstReport, runs)),
+      onLost: (runs: readonly Run[]) => this.crashReports.reportLoss(firstReport, runs),
       log: this.options.log,
     };
     this.session = WorkerSession.create(firstReport, host, this.handover);
@@ -210,15 +213,8 @@
   }
 
   private handleCrash(worker: WorkerIdentity, lostRuns: readonly LostRun[]): void {
-    const { name, log, meter } = this.options;
-    const crash = createWorkerCrash(name, worker, lostRuns, log);
-    meter.crashed(lostRuns.length);
-    this.reportCrash(crash);
-  }
-
-  private reportCrash(crash: WorkerCrash): void {
-    this.crashHistory.add(crash);
-    this.connections.sendCrash(crash);
+    this.options.meter.crashed(lostRuns.length);
+    this.crashReports.reportCrash(worker, lostRuns);
   }
 
   /**
@@ -263,7 +259,7 @@
       dataCenter,
       rules: this.rules,
       view: this.view,
-      crashes: this.crashHistory.recent,
+      crashes: this.crashReports.recent,
       clock: clock(),
     };
   }
@@ -280,7 +276,10 @@
     this.connections.recordContact(link);
     const { reason, count } = admit(assignment, this.admissionStateFor(assignment, link));
     const admitted = assignment.runs.slice(0, count);
-    admitted.forEach(([index, run]) => this.startRun(assignment, index, run, link));
+    const ownerId = this.connections.idOf(link);
+    admitted.forEach(([index, run]) =>
+      this.session?.startRun(createRun(assignment, index, run, ownerId), assignment.spec),
+    );
     const declined = assignment.runs.length - admitted.length;
     this.connections.recordAssignment(link, assignment.needs, declined > 0);
     this.options.meter.assigned(admitted.length, declined, reason ?? '');
@@ -329,32 +328,6 @@
     return this.session?.find({ job, occurrence, step, index }) !== undefined;
   }
 
-  private startRun(assignment: Assignment, index: number, run: number, link: Link): void {
-    const { job, occurrence, step, route, needs, estimateMs, bestSlowness, spec } = assignment;
-    const now = performance.now();
-    this.session?.startRun(
-      {
-        task: { job, occurrence, step, index },
-        run,
-        ownerId: this.connections.idOf(link),
-        route,
-        needs,
-        estimateMs,
-        bestSlowness,
-        admittedAt: now,
-        state: 'starting',
-        endIfStopped: 'stopped',
-        percent: 0,
-        lastProgressAt: now,
-        wasStarted: false,
-        wasListed: false,
-        isSuspect: assignment.isSuspect,
-        hasFailedElsewhere: assignment.hasFailedElsewhere,
-      },
-      spec,
-    );
-  }
-
   private stopRuns(isUnwanted: (run: Run) => boolean): number {
     const runs = this.session?.select(isUnwanted) ?? [];
     runs.forEach((run) => this.session?.stop(run));
--- a/packages/gate/src/WorkerSession.ts
+++ b/packages/gate/src/WorkerSession.ts
@@ -12,6 +12,7 @@
 import { LONG_POLL_MS, RENEW_PERIOD_MS, RETRY_PAUSE_MS } from './constants';
 import { EndedRuns } from './EndedRuns';
 import { findStalledRuns } from './findStalledRuns';
+import { LostRuns } from './LostRuns';
 import type { LostRun, Run } from './run';
 import { WorkerContact } from './WorkerContact';
 import { WorkerLease } from './WorkerLease';
@@ -85,10 +86,7 @@
 
   private readonly contact = WorkerContact.create();
 
-  /** Runs that were reported as lapsed while the worker did not answer. */
-  private lapsedRuns: Run[] = [];
-
-  private isCrashReported = false;
+  private readonly lostRuns = LostRuns.create();
 
   /** The worker has refused a start for lack of room since its last report and the last end of a run. */
   private isFull = false;
@@ -261,8 +259,7 @@
 
   private recordContact(clock: number | undefined): void {
     this.contact.recordAnswer();
-    this.lapsedRuns = [];
-    this.isCrashReported = false;
+    this.lostRuns.clear();
     if (clock !== undefined) this.lease.syncClock(clock);
   }
 
@@ -393,14 +390,9 @@
   }
 
   private reportCrash(): void {
-    if (this.isCrashReported) return;
-    this.isCrashReported = true;
     const crashedAt = this.contact.lostAt ?? performance.now();
-    const lostRuns = [...this.runs.values(), ...this.lapsedRuns]
-      .map((run) => ({ run, ageMs: crashedAt - run.admittedAt }))
-      // A run that was admitted after the crash did not reach the worker.
-      .filter(({ ageMs }) => ageMs >= 0);
-    this.host.onCrashed(lostRuns);
+    const lostRuns = this.lostRuns.report(this.runs.values(), crashedAt);
+    if (lostRuns) this.host.onCrashed(lostRuns);
   }
 
   /** Waits for ends of runs on the worker, with repeated long polls, until the session ends. */
@@ -537,7 +529,7 @@
     // No run may start until a list has shown which runs are still active on the worker.
     this.isReconciled = false;
     const runs = [...this.runs.values()];
-    this.lapsedRuns.push(...runs);
+    this.lostRuns.addExpired(runs);
     this.host.onLost(runs);
     runs.forEach((run) => this.removeRun(run, 'lapsed'));
   }
--- a/packages/proofs/tests/capacityChanges.test.ts
+++ b/packages/proofs/tests/capacityChanges.test.ts
@@ -1,4 +1,4 @@
-import { checkDispatchGuarantees } from './support/DispatchSimulation';
+import { checkDispatchGuarantees } from './support/checkDispatchGuarantees';
 import { runDispatchSchedule } from './support/dispatchSchedule';
 import type { PlannedDispatchFault, PlannedDispatchJob } from './support/dispatchSchedule';
 
--- a/packages/proofs/tests/checkDispatchGuarantees.test.ts
+++ b/packages/proofs/tests/checkDispatchGuarantees.test.ts
@@ -1,4 +1,4 @@
-import { checkDispatchGuarantees } from './support/DispatchSimulation';
+import { checkDispatchGuarantees } from './support/checkDispatchGuarantees';
 import type { ObservedAnswer } from './support/DispatchSimulation';
 import type { ObservedRun } from './support/MemoryWorker';
 
--- a/packages/proofs/tests/dispatch.test.ts
+++ b/packages/proofs/tests/dispatch.test.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check';
-import { DispatchSimulation, checkDispatchGuarantees } from './support/DispatchSimulation';
+import { checkDispatchGuarantees } from './support/checkDispatchGuarantees';
+import { DispatchSimulation } from './support/DispatchSimulation';
 import { dispatchScheduleArbitrary, runDispatchSchedule } from './support/dispatchSchedule';
 import type { PlannedDispatchFault, PlannedDispatchJob } from './support/dispatchSchedule';
 
--- a/packages/proofs/tests/support/DispatchSimulation.ts
+++ b/packages/proofs/tests/support/DispatchSimulation.ts
@@ -26,7 +26,7 @@
 const ROUTE_TIMEOUT_MS = 15_000;
 
 /** Number of failed runs of one task after which its job fails. */
-const MAX_FAILED_RUNS = 2;
+export const MAX_FAILED_RUNS = 2;
 
 const createRoute = (name: string): Route => ({
   name,
@@ -59,15 +59,6 @@
 /** One process of an entry or of an agent; a restart creates another one. */
 type SimulatedProcess<T> = { name: string; node: T; isAlive: boolean };
 
-/** Number of workers that have to crash under a task before its job may be answered as failed. */
-const MIN_CRASHES = 2;
-
-/** Number of crashes under a task from which its further starts are counted. */
-const COUNTED_FROM_CRASHES = 3;
-
-/** Number of starts after {@link COUNTED_FROM_CRASHES} crashes that violates the rule. */
-const MAX_FURTHER_STARTS = 3;
-
 /**
  * Simulates a deployment of entries, agents and workers in one process with Jest's fake timers, and
  * records every run and every answer.
@@ -336,91 +327,3 @@
     }
   }
 }
-
-/** A violated guarantee: the name of the rule and what violated it. */
-export type Violation = { rule: string; detail: string };
-
-/**
- * Checks the guarantees of dispatch against what workers and clients observed:
- *
- * - `twice`: a task never has two active runs at the same time.
- * - `partial`: a job is answered as completed only when each of its tasks has a run that is done.
- * - `falseRefusal`: if the last answer to a job is a refusal, none of its runs is active then or
- *   starts later.
- * - `falseFailure`: a job fails only after one of its tasks has failed as often as its route
- *   allows, or two workers have crashed under one of its tasks.
- * - `crashBudget`: a task under which three workers have crashed is not started three times more.
- * - `leaving`: a worker starts no run later than a grace period after its first report that it
- *   leaves.
- * - `room`: the active runs of a worker never exceed its capacity.
- *
- * @param simulation - the runs, overloads and answers of a simulation
- * @returns every violation
- */
-export const checkDispatchGuarantees = ({
-  runs,
-  overloads,
-  answers,
-}: Pick<DispatchSimulation, 'runs' | 'overloads' | 'answers'>): Violation[] => {
-  const runsByTask = new Map<string, ObservedRun[]>();
-  runs.forEach((run) => runsByTask.set(run.task, [...(runsByTask.get(run.task) ?? []), run]));
-  const overlappingRuns = [...runsByTask.values()].flatMap((list) => {
-    const orderedRuns = [...list].sort((a, b) => a.startedAt - b.startedAt);
-    return orderedRuns.slice(1).flatMap((run, index) => {
-      const previous = orderedRuns[index];
-      return previous && previous.endedAt > run.startedAt
-        ? [{ rule: 'twice', detail: `${run.task} on ${previous.worker} and ${run.worker}` }]
-        : [];
-    });
-  });
-  const isDone = (task: string) => runsByTask.get(task)?.some(({ how }) => how === 'done') ?? false;
-  const falseAnswers = answers.flatMap(({ job, outcome, at }) => {
-    const tasks = Array.from({ length: job.tasks }, (_, index) => `${job.id}.0.0.${index}`);
-    if (outcome.type === 'completed' && !tasks.every(isDone)) {
-      return [{ rule: 'partial', detail: job.id }];
-    }
-    const hasActiveOrLaterRun = tasks.some((task) =>
-      runsByTask.get(task)?.some(({ endedAt }) => endedAt > at - 1),
-    );
-    const isLast = answers.filter((answer) => answer.job.id === job.id).pop()?.at === at;
-    return outcome.type === 'refused' && isLast && hasActiveOrLaterRun
-      ? [{ rule: 'falseRefusal', detail: job.id }]
-      : [];
-  });
-  const falseFailures = answers.flatMap(({ job, outcome }) => {
-    const mostRunsThatEnded = (end: string): number => {
-      const counts = Array.from({ length: job.tasks }, (_, index) => {
-        const ofTask = runsByTask.get(`${job.id}.0.0.${index}`) ?? [];
-        return ofTask.filter(({ how }) => how === end).length;
-      });
-      return Math.max(...counts);
-    };
-    return outcome.type === 'failed' &&
-      mostRunsThatEnded('failed') < MAX_FAILED_RUNS &&
-      mostRunsThatEnded('crashed') < MIN_CRASHES
-      ? [{ rule: 'falseFailure', detail: job.id }]
-      : [];
-  });
-  const overspentCrashBudgets = [...runsByTask].flatMap(([task, list]) => {
-    const crashedAt = list
-      .filter(({ how }) => how === 'crashed')
-      .map(({ endedAt }) => endedAt)
-      .sort((a, b) => a - b)[COUNTED_FROM_CRASHES - 1];
-    const furtherStarts = list.filter(({ startedAt }) => startedAt > (crashedAt ?? Infinity));
-    return furtherStarts.length >= MAX_FURTHER_STARTS
-      ? [{ rule: 'crashBudget', detail: `${task}: ${furtherStarts.length} more starts` }]
-      : [];
-  });
-  const startsWhileLeaving = runs
-    .filter(({ isStartedWhileLeaving }) => isStartedWhileLeaving)
-    .map(({ task, worker }) => ({ rule: 'leaving', detail: `${task} on ${worker}` }));
-  const capacityExcesses = overloads.map((detail) => ({ rule: 'room', detail }));
-  return [
-    ...overlappingRuns,
-    ...falseAnswers,
-    ...falseFailures,
-    ...overspentCrashBudgets,
-    ...startsWhileLeaving,
-    ...capacityExcesses,
-  ];
-};
--- a/packages/proofs/tests/workerCrashes.test.ts
+++ b/packages/proofs/tests/workerCrashes.test.ts
@@ -1,5 +1,5 @@
 import fc from 'fast-check';
-import { checkDispatchGuarantees } from './support/DispatchSimulation';
+import { checkDispatchGuarantees } from './support/checkDispatchGuarantees';
 import type { DispatchSimulation } from './support/DispatchSimulation';
 import {
   CRASH_SCHEDULE_AGENTS,
