Crash schedules with killed agents, lost answers and evacuations too

Change: three more kinds, among them killed agents. No product code. Ruled out: cuts, frozen processes and late commands, which need the operators' exception for processes out of touch, which this check does not make.

--- a/packages/proofs/tests/support/dispatchSchedule.ts
+++ b/packages/proofs/tests/support/dispatchSchedule.ts
@@ -135,7 +135,17 @@
 export const CRASH_SCHEDULE_AGENTS = 8;
 
 const faultBesideCrashes: fc.Arbitrary<PlannedDispatchFault> = fc.record({
-  type: fc.constantFrom('killEntry', 'silent', 'reborn', 'leaves', 'shrink', 'shrinkUnseen'),
+  type: fc.constantFrom(
+    'killEntry',
+    'killAgent',
+    'silent',
+    'answerLost',
+    'reborn',
+    'leaves',
+    'shrink',
+    'shrinkUnseen',
+    'takeOut',
+  ),
   atMs: fc.integer({ min: 0, max: SCHEDULE_MS }),
   forMs: fc.integer({ min: 30, max: 3_000 }),
   node: fc.nat({ max: CRASH_SCHEDULE_AGENTS - 1 }),
