Time in which nothing was queued is not taken for a wait

Callers saw: 503 without room, and a Retry-After of 7 to 9 s, while all workers were idle. Cause: QueueEstimate adds the time since its last record while work was waiting, and a pass recorded only the estimates of the jobs that it had seen. When the waiting jobs left the queue without a pass (given up after crashes, past their deadline, their client gone, or their route confined, which has an estimate of its own), the estimate went on waiting until the next job of its kind came. The tests added to Dispatcher.test.ts and QueueEstimate.test.ts; the first failed before. Ruled out: the confinement (four workers were open, and the other entries served their jobs at the same moment); load (26 ms). Change: each pass, also one without jobs, tells the estimates that have no queued work. Why it works: while work waits there is a pass every 20 ms, so the time that is counted ends with the waiting.

--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -168,9 +168,12 @@
 
   private runPass(): void {
     clearTimeout(this.passTimer);
-    if (this.queue.size === 0) return;
-    this.passTimer = setTimeout(() => this.schedulePass(), MAX_DISPATCH_PASS_INTERVAL_MS);
     const now = performance.now();
+    if (this.queue.size === 0) {
+      this.recordLoads(new Map(), now);
+      return;
+    }
+    this.passTimer = setTimeout(() => this.schedulePass(), MAX_DISPATCH_PASS_INTERVAL_MS);
     const { confinement } = this.host;
     const roomsOf = createRoomFinder((service) => this.findRooms(service, now), confinement);
     const jobs = sortWaitingJobs(this.queue, (route) => roomsOf(route).bestSlowness, now);
@@ -187,11 +190,21 @@
       this.refuseIfHopeless(job, rooms, estimatedWaitMs);
       if (job.isOpen) load.waitingWork += waitingWork;
     });
-    loads.forEach(({ placedWork, waitingWork, hasWorkers }, estimate) => {
+    this.recordLoads(loads, now);
+    if (this.queue.size === 0) clearTimeout(this.passTimer);
+  }
+
+  private recordLoads(loads: ReadonlyMap<QueueEstimate, PassLoad>, now: number): void {
+    this.estimates.forEach((estimate) => {
+      const load = loads.get(estimate);
+      if (!load) {
+        estimate.recordIdle(now);
+        return;
+      }
+      const { placedWork, waitingWork, hasWorkers } = load;
       // How fast work is placed cannot be seen while there is no worker.
       estimate.record(placedWork, waitingWork > 0 && hasWorkers, now);
     });
-    if (this.queue.size === 0) clearTimeout(this.passTimer);
   }
 
   private findRooms(service: string, now: number): WorkerRooms {
--- a/packages/dispatch/src/QueueEstimate.ts
+++ b/packages/dispatch/src/QueueEstimate.ts
@@ -57,6 +57,15 @@
     this.wasWaiting = isWaiting;
   }
 
+  /**
+   * Records that a dispatch pass found no queued work of this kind, as its jobs have left the queue.
+   *
+   * @param now - monotonic time, in milliseconds
+   */
+  recordIdle(now: number): void {
+    if (this.wasWaiting) this.record(0, false, now);
+  }
+
   /**
    * Estimates when queued work has been placed. One more job counts as placed than was seen, so that a
    * time in which nothing was placed is taken to go on for about as long, and not forever.
--- a/packages/dispatch/tests/Dispatcher.test.ts
+++ b/packages/dispatch/tests/Dispatcher.test.ts
@@ -116,6 +116,28 @@
     expect(countAssigned()).toBe(4);
   });
 
+  // Guards against jobs that are refused though there is room, since a job that left the queue without a
+  // pass (its client had gone) was taken to wait until the next job came.
+  it('does not take the time in which nothing was queued for a wait', async () => {
+    const agent = createFakeAgent('a', 1, 0);
+    const dispatcher = createDispatcher([agent.connection]);
+    const abandoned = createTestJob(1, 100);
+    dispatcher.add(abandoned);
+    await jest.advanceTimersByTimeAsync(5);
+    dispatcher.remove(abandoned);
+    await jest.advanceTimersByTimeAsync(6_000);
+    Object.assign(agent.connection, { free: resourcesFor(1) });
+    dispatcher.add(createTestJob(1, 100));
+    await jest.advanceTimersByTimeAsync(5);
+    Object.assign(agent.connection, { free: resourcesFor(0) });
+    const next = createTestJob(1, 100);
+    dispatcher.add(next);
+    await jest.advanceTimersByTimeAsync(50);
+    dispatcher.halt();
+    expect(agent.assigned).toHaveLength(1);
+    expect(next.isOpen).toBe(true);
+  });
+
   // After a pause of the VM its timers run before its sockets are read. What the sockets hold, such as the
   // disconnect of a client, has to be handled before anything is assigned.
   it('assigns nothing from its timer before the sockets have been read', async () => {
--- a/packages/dispatch/tests/QueueEstimate.test.ts
+++ b/packages/dispatch/tests/QueueEstimate.test.ts
@@ -70,6 +70,16 @@
     expect(estimate.waitMsFor(3_000, 1_000)).toBeLessThan(2_800);
   });
 
+  // Guards against refusals of the first jobs after a pause, which was taken for a wait.
+  it('does not count the time in which nothing was queued', () => {
+    const estimate = QueueEstimate.create();
+    for (let now = 0; now <= 100; now += 10) estimate.record(50, true, now);
+    estimate.recordIdle(110);
+    estimate.record(50, true, 6_000);
+    estimate.record(50, true, 6_010);
+    expect(estimate.waitMsFor(1_000, 1)).toBeUndefined();
+  });
+
   it('has jobs of a crowd refused far sooner than at the end of their time, and serves no fewer', () => {
     const naive = replayCrowd(false);
     const estimated = replayCrowd(true);
