A lost worker that returns as another incarnation counts as crashed

Callers would see: a task that crashes workers started more often than its budget allows, when agents are killed while their workers are down. Cause: an entry that lost an agent, or heard of a silent worker, only waited until the agent's worker took tasks again, and then forgot the loss. The agent was to report the crash; one that was killed meanwhile knows of none. Class: evidence lost with the process that holds it. Ruled out: the agent asking its worker (it has restarted and knows nothing); counting each lost run as a crash (a silent worker is none). Change: the view of a worker names its incarnation, a run keeps that of its assignment, and a loss is recorded when the agent is lost. recordReturn compares on the next view that is not closed. As its start is not confirmed, such a crash is one of the four, not of the two.

--- a/packages/dispatch/src/AgentConnection.ts
+++ b/packages/dispatch/src/AgentConnection.ts
@@ -29,7 +29,7 @@
   /** True while the entry has outstanding runs at the agent. */
   hasRuns: (agent: string) => boolean;
   /** Called when the agent has sent a view of its worker, and after each attach. */
-  onChange: () => void;
+  onChange: (agent: string, view: WorkerView) => void;
   /** Called when an attached connection is lost; the leases of its runs then expire. */
   onLost: (agent: string) => void;
   /** Called with each crash that the agent reports, and after each attach with the recent ones. */
@@ -136,7 +136,7 @@
     }
     this.workerView = view;
     this.pausedUntil = 0;
-    this.host.onChange();
+    this.host.onChange(this.name, view);
   }
 
   /**
--- a/packages/dispatch/src/CrashController.ts
+++ b/packages/dispatch/src/CrashController.ts
@@ -2,6 +2,7 @@
 import type { Log } from '@marjorammast/telemetry';
 import type { ActiveJob } from './ActiveJob';
 import { CrashRecords } from './CrashRecords';
+import type { CrashingTask } from './CrashRecords';
 import type { JobOutcome } from './job';
 import { RouteConfinement } from './RouteConfinement';
 
@@ -42,22 +43,35 @@
    */
   handleCrash(crash: WorkerCrash): void {
     if (!crash.isCertain) {
-      this.records.recordLoss(crash.agent, crash.runs, crash.incarnation);
+      this.records.recordLoss(crash.agent, crash.incarnation, crash.runs);
       return;
     }
-    this.records.record(crash).forEach(({ job, index, route }) => {
-      this.confine(route);
-      const active = this.host.findJob(job);
-      // The crash may become known only after another run of the task has succeeded.
-      if (active?.tasks[index]?.state.type === 'done') return;
-      this.host.log.warn({ job, index, route, own: active !== undefined }, 'task_given_up');
-      active?.settle(createFailure(index));
-    });
+    this.records.record(crash).forEach((task) => this.giveUp(task));
     crash.runs
       .filter(({ route, isSuspect }) => isSuspect && this.confinement.isConfined(route))
       .forEach(({ route }) => this.confine(route));
   }
 
+  /**
+   * Handles word of an agent that its worker takes tasks. Another incarnation than the one that was lost
+   * shows that the lost one has crashed, also when its agent could not report that.
+   *
+   * @param agent - name of the agent
+   * @param incarnation - the present incarnation of its worker
+   */
+  handleReturn(agent: string, incarnation: string): void {
+    this.records.recordReturn(agent, incarnation).forEach((task) => this.giveUp(task));
+  }
+
+  /**
+   * Stops waiting for word of an agent from which nothing more will be heard.
+   *
+   * @param agent - name of the agent
+   */
+  forgetAgent(agent: string): void {
+    this.records.recordReturn(agent);
+  }
+
   /**
    * Finds out whether a job that is not active at the entry has to fail at once, since one of its tasks has
    * crashed too many workers, also at another entry.
@@ -71,6 +85,15 @@
     return index === undefined ? undefined : createFailure(index);
   }
 
+  private giveUp({ job, index, route }: CrashingTask): void {
+    this.confine(route);
+    const active = this.host.findJob(job);
+    // The crash may become known only after another run of the task has succeeded.
+    if (active?.tasks[index]?.state.type === 'done') return;
+    this.host.log.warn({ job, index, route, own: active !== undefined }, 'task_given_up');
+    active?.settle(createFailure(index));
+  }
+
   private confine(name: string): void {
     const route = this.host.findRoute(name);
     if (route && this.confinement.confine(route)) {
--- a/packages/dispatch/src/CrashRecords.ts
+++ b/packages/dispatch/src/CrashRecords.ts
@@ -7,8 +7,11 @@
 } from './constants';
 import { mustWaitForWorkers } from './mustWaitForWorkers';
 
-/** A run of a crashed worker, with the name of its agent. */
-type LostRun = WorkerCrash['runs'][number] & { agent: string };
+/** A run that a worker had when it crashed or was lost. */
+type LostRun = WorkerCrash['runs'][number];
+
+/** An incarnation of a worker that was lost with a task, and the run that it had. */
+type Loss = { incarnation: string; run: LostRun };
 
 /** Incarnations of workers that crashed under a task, each with the run that it had. */
 type TaskCrashes = Map<string, LostRun>;
@@ -16,16 +19,15 @@
 /** What is known of a task. */
 type TaskRecord = {
   crashes: TaskCrashes;
-  /** Workers that were lost with the task and may have crashed: the incarnation by the name of the agent. */
-  lostWorkers: Map<string, string>;
+  /** Workers that were lost with the task and may have crashed, by the name of the agent. */
+  losses: Map<string, Loss>;
 };
 
-/** Stands for the incarnation of a worker whose agent was lost too. */
-const UNKNOWN_INCARNATION = '';
-
 /** A task under which too many workers have crashed. */
 export type CrashingTask = { job: string; index: number; route: string };
 
+const toCrashingTask = ({ job, index, route }: LostRun): CrashingTask => ({ job, index, route });
+
 const isSpent = (crashes: TaskCrashes): boolean => {
   const started = [...crashes.values()].filter(({ wasStarted }) => wasStarted);
   const suspicions = started.filter(({ isSuspect }) => isSuspect);
@@ -45,6 +47,9 @@
   /** By job, each with the time of the last crash or loss. */
   private readonly jobs = new Map<string, { at: number; tasks: Map<number, TaskRecord> }>();
 
+  /** Names of the agents whose workers were lost. */
+  private readonly lostAgents = new Set<string>();
+
   private constructor() {}
 
   /** @returns no crashes */
@@ -60,30 +65,52 @@
    */
   record({ incarnation, agent, runs }: WorkerCrash): CrashingTask[] {
     this.expire();
-    return runs
-      .filter((run) => this.add(incarnation, { ...run, agent }))
-      .map(({ job, index, route }) => ({ job, index, route }));
+    return runs.filter((run) => this.add(agent, incarnation, run)).map(toCrashingTask);
   }
 
   /**
    * Records that a worker was lost with runs, and may have crashed.
    *
    * @param agent - name of the worker's agent
-   * @param runs - the runs, by job and index of the task
-   * @param incarnation - the incarnation of the worker; absent when the agent was lost too
+   * @param incarnation - the incarnation of the worker
+   * @param runs - the runs
    */
   recordLoss(
     agent: string,
-    runs: readonly { job: string; index: number }[],
-    incarnation = UNKNOWN_INCARNATION,
+    incarnation: string,
+    runs: readonly Omit<LostRun, 'isSuspect'>[],
   ): void {
     this.expire();
-    runs.forEach(({ job, index }) => {
-      const { crashes, lostWorkers } = this.recordOf(job, index);
-      if (!crashes.has(incarnation)) lostWorkers.set(agent, incarnation);
+    this.lostAgents.add(agent);
+    runs.forEach((run) => {
+      const { crashes, losses } = this.recordOf(run.job, run.index);
+      const loss = { incarnation, run: { ...run, isSuspect: false } };
+      if (!crashes.has(incarnation)) losses.set(agent, loss);
     });
   }
 
+  /**
+   * Records that an agent has word of its worker again, or that nothing more will be heard from the agent.
+   * A lost worker that has another incarnation now has crashed.
+   *
+   * @param agent - name of the agent
+   * @param incarnation - the present incarnation of its worker; absent when nothing more will be heard
+   * @returns the tasks whose crash budget is spent with a crash that shows by this
+   */
+  recordReturn(agent: string, incarnation?: string): CrashingTask[] {
+    if (!this.lostAgents.delete(agent)) return [];
+    const tasks = [...this.jobs.values()].flatMap((job) => [...job.tasks.values()]);
+    const losses = tasks.flatMap((task) => {
+      const loss = task.losses.get(agent);
+      task.losses.delete(agent);
+      return loss ? [loss] : [];
+    });
+    return losses
+      .filter((loss) => incarnation !== undefined && loss.incarnation !== incarnation)
+      .filter((loss) => this.add(agent, loss.incarnation, loss.run))
+      .map(({ run }) => toCrashingTask(run));
+  }
+
   /**
    * @param job - identifier of a job
    * @param index - index of one of its tasks
@@ -98,17 +125,11 @@
    *
    * @param job - identifier of a job
    * @param index - index of one of its tasks
-   * @param isBack - tells whether an agent's worker is back, or nothing more will be heard from the agent
    * @returns true when the task must not be started now
    */
-  mustWait(job: string, index: number, isBack: (agent: string) => boolean): boolean {
+  mustWait(job: string, index: number): boolean {
     const record = this.jobs.get(job)?.tasks.get(index);
-    if (!record) return false;
-    const { crashes, lostWorkers } = record;
-    lostWorkers.forEach((_, agent) => {
-      if (isBack(agent)) lostWorkers.delete(agent);
-    });
-    return mustWaitForWorkers(lostWorkers.size, crashes.size);
+    return record !== undefined && mustWaitForWorkers(record.losses.size, record.crashes.size);
   }
 
   /**
@@ -121,10 +142,9 @@
   }
 
   /** Returns true when this crash spends the budget of the task. */
-  private add(incarnation: string, run: LostRun): boolean {
-    const { crashes, lostWorkers } = this.recordOf(run.job, run.index);
-    const lost = lostWorkers.get(run.agent);
-    if (lost === incarnation || lost === UNKNOWN_INCARNATION) lostWorkers.delete(run.agent);
+  private add(agent: string, incarnation: string, run: LostRun): boolean {
+    const { crashes, losses } = this.recordOf(run.job, run.index);
+    if (losses.get(agent)?.incarnation === incarnation) losses.delete(agent);
     const wasSpent = isSpent(crashes);
     if (!crashes.has(incarnation)) crashes.set(incarnation, run);
     return !wasSpent && isSpent(crashes);
@@ -134,7 +154,7 @@
   private recordOf(job: string, index: number): TaskRecord {
     const tasks = this.jobs.get(job)?.tasks ?? new Map<number, TaskRecord>();
     this.jobs.set(job, { at: performance.now(), tasks });
-    const record = tasks.get(index) ?? { crashes: new Map(), lostWorkers: new Map() };
+    const record = tasks.get(index) ?? { crashes: new Map(), losses: new Map() };
     tasks.set(index, record);
     return record;
   }
--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -438,6 +438,7 @@
       if (names.has(name) || connection.view) return;
       connection.close();
       this.connections.delete(name);
+      this.crashes.forgetAgent(name);
     });
     chosen
       .filter(({ name, address }) => this.connections.get(name)?.agent.address !== address)
@@ -460,7 +461,10 @@
       dial: (address) => dial(address, this.server),
       rules: () => this.rules,
       hasRuns: (agentName) => this.dispatcher.hasRuns(agentName),
-      onChange: () => this.dispatcher.schedulePass(),
+      onChange: (agentName, view) => {
+        if (view.state !== 'closed') this.crashes.handleReturn(agentName, view.incarnation);
+        this.dispatcher.schedulePass();
+      },
       onLost: (agentName) => this.dispatcher.handleAgentLoss(agentName),
       onCrash: (crash) => this.crashes.handleCrash(crash),
       onRules: (rules) => {
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -157,6 +157,11 @@
     const runs = this.runs.removeAll(agent);
     if (runs.length === 0) return;
     this.host.log.warn({ agent, runs: runs.length, lapseMs: RUN_EXPIRY_MS }, 'runs_lapsing');
+    // The worker may crash unseen while its agent is lost.
+    runs.forEach(({ job, index, incarnation }) => {
+      const lost = { job: job.id, index, route: job.route.name, wasStarted: false };
+      this.host.crashRecords.recordLoss(agent, incarnation, [lost]);
+    });
     setTimeout(() => runs.forEach((run) => this.expireRun(agent, run)), RUN_EXPIRY_MS);
   }
 
@@ -239,7 +244,7 @@
       const groups = groupWaitingTasks(
         job,
         (index) => crashRecords.isSuspect(job.id, index),
-        (index) => crashRecords.mustWait(job.id, index, (agent) => this.isBack(agent)),
+        (index) => crashRecords.mustWait(job.id, index),
       );
       groups.forEach((group) => {
         const candidates = rooms.findCandidates(step, group.avoidedAgents, reservedTasks);
@@ -273,13 +278,6 @@
     });
   }
 
-  /** Tells whether an agent's worker takes tasks, or nothing more will be heard from the agent. */
-  private isBack(agent: string): boolean {
-    const connection = this.host.findConnection(agent);
-    if (!connection) return true;
-    return connection.view !== undefined && connection.view.state !== 'closed';
-  }
-
   /**
    * Refuses a job that has no started or assigned run and cannot be served in time.
    *
@@ -328,7 +326,8 @@
     const connection = this.host.findConnection(agent);
     if (!connection) return;
     const runs = indexes.map((index): [number, number] => [index, job.assign(index, agent)]);
-    runs.forEach(([index, run]) => this.runs.add(agent, { job, index, run }));
+    const incarnation = connection.view?.incarnation ?? '';
+    runs.forEach(([index, run]) => this.runs.add(agent, { job, index, run, incarnation }));
     void this.sendAssignment(job, connection, runs, traits);
   }
 
@@ -401,7 +400,6 @@
 
   private expireRun(agent: string, { job, index, run }: OutstandingRun): void {
     if (!job.isOpen || !job.isAssigned(index, agent, run)) return;
-    this.host.crashRecords.recordLoss(agent, [{ job: job.id, index }]);
     this.applyEnd(job, index, agent, 'lapsed');
   }
 
--- a/packages/dispatch/src/OutstandingRuns.ts
+++ b/packages/dispatch/src/OutstandingRuns.ts
@@ -1,7 +1,13 @@
 import type { ActiveJob } from './ActiveJob';
 
 /** A run that was assigned to an agent and has not ended. */
-export type OutstandingRun = { job: ActiveJob; index: number; run: number };
+export type OutstandingRun = {
+  job: ActiveJob;
+  index: number;
+  run: number;
+  /** The incarnation of the agent's worker when the run was assigned. */
+  incarnation: string;
+};
 
 const keyOf = (jobId: string, index: number): string => `${jobId}#${index}`;
 
--- a/packages/dispatch/tests/AgentConnection.test.ts
+++ b/packages/dispatch/tests/AgentConnection.test.ts
@@ -12,6 +12,7 @@
   state,
   reason: '',
   slowness: 1,
+  incarnation: 'i-1@1',
 });
 
 describe('AgentConnection', () => {
--- a/packages/dispatch/tests/CrashRecords.test.ts
+++ b/packages/dispatch/tests/CrashRecords.test.ts
@@ -15,6 +15,8 @@
   runs: [{ job: 'a', index, route: 'claims', isSuspect, wasStarted }],
 });
 
+const createRun = (wasStarted = true) => ({ job: 'a', index: 0, route: 'claims', wasStarted });
+
 describe('CrashRecords', () => {
   it('spends the budget of a task with the second crash of which it is suspected', () => {
     const records = CrashRecords.create();
@@ -95,11 +97,12 @@
     fc.assert(
       fc.property(names, names, names, (lost, crashed, back) => {
         const records = CrashRecords.create();
-        lost.forEach((name) => records.recordLoss(name, [{ job: 'a', index: 0 }], name));
+        lost.forEach((name) => records.recordLoss(name, name, [createRun()]));
         crashed.forEach((name) => records.record(createCrash(name, 0, false)));
         const silent = lost.filter((name) => !back.includes(name) && !crashed.includes(name));
         const mustWait = silent.length > 0 && silent.length + crashed.length >= 3;
-        expect(records.mustWait('a', 0, (agent) => back.includes(agent))).toBe(mustWait);
+        back.forEach((name) => records.recordReturn(name, name));
+        expect(records.mustWait('a', 0)).toBe(mustWait);
       }),
       { seed: 1 },
     );
@@ -109,17 +112,29 @@
   it('makes a task wait for a worker that is lost again after an earlier crash under the task', () => {
     const records = CrashRecords.create();
     ['w1', 'w2', 'w3'].forEach((name) => records.record(createCrash(name, 0, false, false)));
-    expect(records.mustWait('a', 0, () => false)).toBe(false);
-    records.recordLoss('w1', [{ job: 'a', index: 0 }], 'w1, next incarnation');
-    expect(records.mustWait('a', 0, () => false)).toBe(true);
-    expect(records.mustWait('a', 0, () => true)).toBe(false);
+    expect(records.mustWait('a', 0)).toBe(false);
+    records.recordLoss('w1', 'w1, next incarnation', [createRun()]);
+    expect(records.mustWait('a', 0)).toBe(true);
+    records.recordReturn('w1', 'w1, next incarnation');
+    expect(records.mustWait('a', 0)).toBe(false);
   });
 
-  it('makes a task wait once for a worker whose agent was lost too', () => {
+  // Guards against forgetting crashes that an agent could not report, since it was killed meanwhile.
+  it('counts a crash when a lost worker has another incarnation on its return', () => {
     const records = CrashRecords.create();
-    ['w1', 'w2', 'w3'].forEach((name) => records.recordLoss(name, [{ job: 'a', index: 0 }]));
-    expect(records.mustWait('a', 0, () => false)).toBe(true);
-    ['w1', 'w2', 'w3'].forEach((name) => records.record(createCrash(name, 0, false, false)));
-    expect(records.mustWait('a', 0, () => false)).toBe(false);
+    ['w1', 'w2', 'w3', 'w4'].forEach((name) => records.recordLoss(name, name, [createRun(false)]));
+    const spent = ['w1', 'w2', 'w3', 'w4'].map((name) =>
+      records.recordReturn(name, `${name}, next`),
+    );
+    expect(spent.map((tasks) => tasks.length)).toEqual([0, 0, 0, 1]);
+    expect(records.findSpentTask('a')).toBe(0);
+  });
+
+  it('counts no crash when the agent of a lost worker is gone for good', () => {
+    const records = CrashRecords.create();
+    ['w1', 'w2', 'w3', 'w4'].forEach((name) => records.recordLoss(name, name, [createRun(false)]));
+    ['w1', 'w2', 'w3', 'w4'].forEach((name) => records.recordReturn(name));
+    expect(records.mustWait('a', 0)).toBe(false);
+    expect(records.findSpentTask('a')).toBeUndefined();
   });
 });
--- a/packages/dispatch/tests/Dispatcher.test.ts
+++ b/packages/dispatch/tests/Dispatcher.test.ts
@@ -21,6 +21,7 @@
     state: 'open',
     reason: '',
     slowness,
+    incarnation: `${name}@1`,
   };
   const connection = {
     name,
@@ -104,13 +105,15 @@
       const lost = agents.find(({ assigned }) => assigned.slice(-1)[0]?.runs[0]?.[1] === run);
       Object.assign(lost?.connection.view ?? {}, { state: 'closed' });
       const name = lost?.connection.name ?? '';
-      crashRecords.recordLoss(name, [{ job: 'a', index: 0 }], `${name}@1`);
+      const lostRun = { job: 'a', index: 0, route: 'claims', wasStarted: true };
+      crashRecords.recordLoss(name, `${name}@1`, [lostRun]);
       dispatcher.handleRunEnds(name, [['a', 0, run, 'lapsed', 800]]);
     }
     await jest.advanceTimersByTimeAsync(1_000);
     expect(countAssigned()).toBe(3);
     const back = agents.find(({ assigned }) => assigned.length > 0);
     Object.assign(back?.connection.view ?? {}, { state: 'open' });
+    crashRecords.recordReturn(back?.connection.name ?? '', back?.connection.view?.incarnation);
     await jest.advanceTimersByTimeAsync(50);
     dispatcher.halt();
     expect(countAssigned()).toBe(4);
--- a/packages/dispatch/tests/crowd.test.ts
+++ b/packages/dispatch/tests/crowd.test.ts
@@ -30,7 +30,15 @@
     pausedUntil: 0,
     get view(): WorkerView {
       const capacity = { ...NEEDS, cpu: SLOTS * NEEDS.cpu };
-      const view = { service: 'desk', labels: [], capacity, free: free(), reason: '', slowness: 1 };
+      const view = {
+        service: 'desk',
+        labels: [],
+        capacity,
+        free: free(),
+        reason: '',
+        slowness: 1,
+        incarnation: 'i-1@1',
+      };
       return { ...view, state: 'open' };
     },
     get free() {
--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -16,6 +16,7 @@
 import { CrashReports } from './CrashReports';
 import { createRun } from './createRun';
 import { EntryConnections } from './EntryConnections';
+import { incarnationOf } from './incarnationOf';
 import { SlownessEstimate, findSlowRuns } from './SlownessEstimate';
 import { WorkerHealth } from './WorkerHealth';
 import { WorkerSession } from './WorkerSession';
@@ -163,6 +164,7 @@
       state: reason ? 'closed' : openState,
       reason,
       slowness: this.slowness.value,
+      incarnation: session ? incarnationOf(session.identity) : '',
     };
   }
 
--- a/packages/gate/src/createWorkerCrash.ts
+++ b/packages/gate/src/createWorkerCrash.ts
@@ -2,6 +2,7 @@
 import { taskKey } from '@marjorammast/protocol';
 import type { Log } from '@marjorammast/telemetry';
 import { findSuspects } from './findSuspects';
+import { incarnationOf } from './incarnationOf';
 import type { LostRun, Run } from './run';
 import type { WorkerIdentity } from './WorkerClient';
 
@@ -15,11 +16,11 @@
  */
 export const createWorkerLoss = (
   agent: string,
-  { id, born }: WorkerIdentity,
+  worker: WorkerIdentity,
   runs: readonly Run[],
 ): WorkerCrash => ({
   isCertain: false,
-  incarnation: `${id}@${born}`,
+  incarnation: incarnationOf(worker),
   agent,
   runs: runs.map(({ task: { job, index }, route, wasStarted }) => ({
     job,
@@ -41,11 +42,12 @@
  */
 export const createWorkerCrash = (
   agent: string,
-  { id, born }: WorkerIdentity,
+  worker: WorkerIdentity,
   lostRuns: readonly LostRun[],
   log: Log,
 ): WorkerCrash => {
   const suspects = new Set(findSuspects(lostRuns));
+  const { id, born } = worker;
   log.warn({ worker: id, born, runs: lostRuns.length, suspects: suspects.size }, 'worker_crashed');
   const runs = lostRuns.map((lostRun) => {
     const { run, ageMs } = lostRun;
@@ -63,5 +65,5 @@
     );
     return { job: task.job, index: task.index, route, isSuspect, wasStarted };
   });
-  return { isCertain: true, incarnation: `${id}@${born}`, agent, runs };
+  return { isCertain: true, incarnation: incarnationOf(worker), agent, runs };
 };
--- a/packages/gate/src/viewDelay.ts
+++ b/packages/gate/src/viewDelay.ts
@@ -24,6 +24,7 @@
   known.state !== current.state ||
   known.reason !== current.reason ||
   known.service !== current.service ||
+  known.incarnation !== current.incarnation ||
   known.labels.join() !== current.labels.join();
 
 const hasOtherSlowness = (known: WorkerView, current: WorkerView): boolean =>
--- a/packages/gate/tests/EntryConnections.test.ts
+++ b/packages/gate/tests/EntryConnections.test.ts
@@ -37,6 +37,7 @@
     state: 'open',
     reason: '',
     slowness: 1,
+    incarnation: 'i-1@1',
   });
   const connections = EntryConnections.create({
     view,
--- a/packages/gate/tests/viewDelay.test.ts
+++ b/packages/gate/tests/viewDelay.test.ts
@@ -14,6 +14,7 @@
   state: 'open',
   reason: '',
   slowness: 1,
+  incarnation: 'i-1@1',
   ...fields,
 });
 
--- a/packages/protocol/src/dispatchMessages.ts
+++ b/packages/protocol/src/dispatchMessages.ts
@@ -26,6 +26,8 @@
   reason: z.string(),
   /** Ratio of actual to estimated run time, averaged over recent runs. */
   slowness: z.number().positive(),
+  /** Identifies the incarnation of the worker; empty without a worker. */
+  incarnation: z.string().default(''),
 });
 
 /**
