The end of a worker that leaves is no crash of its tasks

Callers would see: jobs that fail as if their tasks had crashed workers, when workers are taken away at short notice and end before their agents have handled that they deregister. Cause: reportCrash was guarded against leaving workers where another incarnation appears, not where the connection is refused. Evidence: the test added to WorkerSession.test.ts failed before: a crash was reported. Ruled out: nothing; found by reading. Change: reportCrash itself leaves out a worker that has said that it leaves.

--- a/packages/gate/src/WorkerSession.ts
+++ b/packages/gate/src/WorkerSession.ts
@@ -238,7 +238,7 @@
    * @returns the state that the next session takes over
    */
   end(hasCrashed = false): SessionHandover {
-    if (hasCrashed && !this.report.isLeaving) this.reportCrash();
+    if (hasCrashed) this.reportCrash();
     this.hasEnded = true;
     clearTimeout(this.renewalTimer);
     const unconfirmed = this.select(({ wasListed }) => !wasListed);
@@ -390,6 +390,7 @@
   }
 
   private reportCrash(): void {
+    if (this.report.isLeaving) return;
     const crashedAt = this.contact.lostAt ?? performance.now();
     const lostRuns = this.lostRuns.report(this.runs.values(), crashedAt);
     if (lostRuns) this.host.onCrashed(lostRuns);
--- a/packages/gate/tests/WorkerSession.test.ts
+++ b/packages/gate/tests/WorkerSession.test.ts
@@ -69,7 +69,9 @@
     ends: [] as RunEnd[],
     holds: [] as HoldCommand[],
     born: BORN,
+    isRefusing: false,
   };
+  const refused = { ...noAnswer, wasRefused: true };
   const list = (): HoldResult => ({
     type: 'list',
     list: { born: fixture.born, clock: CLOCK, running: fixture.running, ended: fixture.ended },
@@ -82,15 +84,15 @@
     worker: {
       start: (command) => {
         fixture.starts.push(command);
-        return answerLater(() => fixture.startAnswer);
+        return answerLater(() => (fixture.isRefusing ? refused : fixture.startAnswer));
       },
       stop: (command) => {
         fixture.stops.push(command);
-        return answerLater(() => fixture.stopAnswer);
+        return answerLater(() => (fixture.isRefusing ? refused : fixture.stopAnswer));
       },
       hold: (command) => {
         fixture.holds.push(command);
-        return answerLater(list);
+        return answerLater(() => (fixture.isRefusing ? refused : list()));
       },
     },
     onRunEnded: (_, how) => fixture.ends.push(how),
@@ -152,6 +154,17 @@
     fixture.session.end();
   });
 
+  it('does not report the end of a worker that leaves as a crash', async () => {
+    const fixture = createFixture();
+    await advance(20);
+    fixture.session.update({ ...report, isLeaving: true, sequence: 2 });
+    fixture.isRefusing = true;
+    await advance(100);
+    expect(fixture.session.unavailableReason).not.toBe('');
+    expect(fixture.host.onCrashed).not.toHaveBeenCalled();
+    fixture.session.end();
+  });
+
   it('is unavailable while the worker lists runs of an earlier agent process, and stops them', async () => {
     const fixture = createFixture();
     fixture.running = [{ task: createRun(3).task, run: 2, percent: 40 }];
