Entries get no views of the states between a crash and the return of a worker

Callers would see, at hundreds of VMs: late answers while many workers crash, as entries and agents spend their processor time on messages. Cause: any change of a view's reason went to every attached entry at once, also between two closed states; a crash has three of these. Evidence: the test added to viewDelay.test.ts, which replays the states of one crash, failed before. Ruled out: a longer delay for each change of state, which would send tasks to a crashed worker. Change: viewDelay leaves out a change from closed to closed; the view after it is complete.

--- a/packages/gate/src/viewDelay.ts
+++ b/packages/gate/src/viewDelay.ts
@@ -48,6 +48,7 @@
  * Decides when an entry gets a new view of a worker. Load pattern: a worker whose tasks start and end
  * many times a second, at a size at which many entries are attached to it. A view of each change to
  * each entry costs changes times entries, most of them for entries that place nothing here at the time.
+ * Likewise workers that crash: each goes through several states in which it takes no tasks.
  *
  * @param subscriber - what the entry knows and uses
  * @param current - the view as it is now
@@ -58,6 +59,7 @@
   { known, lastNeeds, isActive }: ViewSubscriber,
   current: WorkerView,
 ): number | undefined => {
+  if (known.state === 'closed' && current.state === 'closed') return undefined;
   if (hasOtherState(known, current)) return 0;
   const needs = lastNeeds ?? assumedNeeds(current);
   if (!hasOtherSlowness(known, current) && !hasOtherRoom(needs, known.free, current.free)) {
--- a/packages/gate/tests/viewDelay.test.ts
+++ b/packages/gate/tests/viewDelay.test.ts
@@ -48,6 +48,25 @@
     expect(viewDelay({ known: createView(0), isActive: false }, closed)).toBe(0);
   });
 
+  // The load: a crashed worker is silent, absent, and back with unknown runs before it is open again.
+  it('sends a crash and the return to each entry, and nothing in between', () => {
+    const states: Partial<WorkerView>[] = [
+      { state: 'closed', reason: 'worker silent' },
+      { state: 'closed', reason: 'no worker', service: '', labels: [], incarnation: '' },
+      { state: 'closed', reason: 'runs unknown', incarnation: 'i-1@2' },
+      { state: 'open', incarnation: 'i-1@2' },
+    ];
+    let known = createView(16_000);
+    const sent = states
+      .map((fields) => createView(16_000, fields))
+      .filter((current) => {
+        const isSent = viewDelay({ known, isActive: true }, current) !== undefined;
+        if (isSent) known = current;
+        return isSent;
+      });
+    expect(sent.map(({ state }) => state)).toEqual(['closed', 'open']);
+  });
+
   it('sends changes of speed and room sooner to entries that use the worker', () => {
     const known = createView(0);
     [createView(0, { slowness: 1.5 }), createView(16_000)].forEach((current) => {
