The runs of a crashed worker end with the news of the crash, not with their lease

Callers saw: jobs that shared a worker with a crashing task were late or lost, since their tasks were started again 0.7 s after the crash. Cause: lost runs were held back until their lease had expired, also when the worker's process had certainly ended. Evidence: workerCrashes.test.ts 'delay the runs that shared a worker with them by less than a lease' failed before (745 ms); likewise the test added to WorkerSession.test.ts. Change: after a crash by refused connections, the runs whose start the worker had confirmed end at once. A start without an answer may be carried out by the next incarnation, so such runs still end with their lease. Why it works: what a process ran ends with it, and its command was carried out once.

--- a/packages/gate/src/WorkerSession.ts
+++ b/packages/gate/src/WorkerSession.ts
@@ -458,10 +458,22 @@
   private recordUnanswered(command: string, detail: string, wasRefused: boolean): void {
     const wasSilent = this.contact.isSilent;
     this.contact.recordUnanswered(wasRefused);
-    if (this.contact.isGone) this.reportCrash();
-    if (wasSilent || !this.contact.isSilent) return;
-    this.host.log.warn({ call: command, detail, runs: this.runs.size }, 'worker_silent');
-    this.host.onChanged();
+    if (!wasSilent && this.contact.isSilent) {
+      this.host.log.warn({ call: command, detail, runs: this.runs.size }, 'worker_silent');
+      this.host.onChanged();
+    }
+    if (this.contact.isGone) this.handleCrash();
+  }
+
+  /**
+   * Reports the crash of the worker and the ends of the runs that it had started, which ended with it. A
+   * start that it has not confirmed may be carried out by its next incarnation, so that such a run ends
+   * with its lease.
+   */
+  private handleCrash(): void {
+    this.reportCrash();
+    this.isReconciled = false;
+    this.select(({ wasStarted }) => wasStarted).forEach((run) => this.removeRun(run, 'lapsed'));
   }
 
   private recordEnd(number: number, task: TaskId, run: number, how: ListedRunEnd): void {
--- a/packages/gate/tests/WorkerSession.test.ts
+++ b/packages/gate/tests/WorkerSession.test.ts
@@ -165,6 +165,24 @@
     fixture.session.end();
   });
 
+  // Guards against holding runs back until their lease has expired although their worker has crashed.
+  it('ends the started runs of a crashed worker at once, but not those that it may yet start', async () => {
+    const fixture = createFixture();
+    await advance(20);
+    fixture.session.startRun(createRun(0), '');
+    await advance(2);
+    fixture.startAnswer = noAnswer;
+    fixture.session.startRun(createRun(1), '');
+    await advance(1);
+    fixture.isRefusing = true;
+    await advance(100);
+    expect(fixture.host.onCrashed).toHaveBeenCalledTimes(1);
+    expect(fixture.ends).toEqual(['lapsed']);
+    expect(fixture.session.find(createRun(1).task)).toBeDefined();
+    expect(fixture.session.unavailableReason).not.toBe('');
+    fixture.session.end();
+  });
+
   it('is unavailable while the worker lists runs of an earlier agent process, and stops them', async () => {
     const fixture = createFixture();
     fixture.running = [{ task: createRun(3).task, run: 2, percent: 40 }];
--- a/packages/proofs/tests/workerCrashes.test.ts
+++ b/packages/proofs/tests/workerCrashes.test.ts
@@ -10,6 +10,9 @@
 
 const AGENTS = 8;
 
+/** Length of the lease that agents request for the runs of a worker, in milliseconds. */
+const LEASE_MS = 600;
+
 /** Number of generated schedules; set by `FAULT_RUNS`. */
 const SCHEDULE_COUNT = Number(process.env['FAULT_RUNS'] ?? 60);
 
@@ -101,6 +104,23 @@
     expect(outcomes).toEqual(Array(others.length).fill('completed'));
   });
 
+  // Guards against holding what shared a crashed worker back until its lease has expired.
+  it('delay the runs that shared a worker with them by less than a lease', async () => {
+    const bystanders = Array.from({ length: 16 }, () => createJob({ tasks: 2, runMs: 1_000 }));
+    const crashing = createJob({ atMs: 300, crashingTask: 0 });
+    const jobs = [crashing, ...bystanders];
+    const simulation = await runDispatchSchedule({ seed: 3, faults: [], jobs }, AGENTS);
+    expect(checkDispatchGuarantees(simulation)).toEqual([]);
+    const runs = simulation.runs.filter(({ task }) => !task.startsWith(CRASHING_JOB));
+    const lost = runs.filter(({ how }) => how === 'crashed');
+    const delays = lost.map(({ task, run, endedAt }) => {
+      const next = runs.find((other) => other.task === task && other.run > run);
+      return (next?.startedAt ?? Infinity) - endedAt;
+    });
+    expect(lost.length).toBeGreaterThan(0);
+    expect(Math.max(...delays)).toBeLessThan(LEASE_MS);
+  });
+
   it('keep to all guarantees in every generated schedule', async () => {
     await fc.assert(
       fc.asyncProperty(crashScheduleArbitrary, async (schedule) => {
