A suspected task starts apart from those started before it, too

Callers would see: a job answered as failed though none of its tasks crashes workers, after it shared two workers with tasks that do. Cause: nothing was admitted after a suspected task for 100 ms, but what had been started just before it was not looked at, and was left out of the suspects. The test added to GateAgent.test.ts failed before (10 ms between the two starts). Ruled out: declining the suspected task (a worker starts about 25 groups of tasks a second, so that gaps of 100 ms are rare); counting such a crash half (the culprits would crash a third worker). Change: the agent holds the start back for up to 100 ms, with its room reserved, and before the start looks again at what it was admitted on: the worker open, the data centre in, the assignment not older than 250 ms by the clock that counts suspension. A waiting run is not lost with a crash, not passed on to the next session, and ends as not run when it is stopped.

--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -12,11 +12,12 @@
 import type { Log } from '@marjorammast/telemetry';
 import { admit } from './admit';
 import type { AdmissionState } from './admit';
-import { PROBATION_MS, STOP_POLL_PERIOD_MS, UNCONFIRMED_RUN_MS } from './constants';
+import { STOP_POLL_PERIOD_MS, UNCONFIRMED_RUN_MS } from './constants';
 import { CrashReports } from './CrashReports';
 import { createRun } from './createRun';
 import { EntryConnections } from './EntryConnections';
 import { incarnationOf } from './incarnationOf';
+import { isOnProbation, probationDelay } from './probation';
 import { SlownessEstimate, findSlowRuns } from './SlownessEstimate';
 import { WorkerHealth } from './WorkerHealth';
 import { WorkerSession } from './WorkerSession';
@@ -79,7 +80,7 @@
     this.server = this.createServer();
     this.connections = EntryConnections.create({
       view: () => this.view,
-      ownersOfRuns: () => new Set(this.session?.select(() => true).map((run) => run.ownerId)),
+      ownersOfRuns: () => new Set(this.runs.map((run) => run.ownerId)),
       onDetached: (id) => this.stopRuns((run) => run.ownerId === id),
       log: options.log,
     });
@@ -187,6 +188,7 @@
     this.options.log.info({ worker: id, born, service, cpu: capacity.cpu }, 'worker_found');
     const host = {
       worker: this.options.worker,
+      mayStart: (run: Run) => this.mayStart(run),
       onRunEnded: (run: Run, how: RunEnd) => this.handleRunEnd(run, how),
       onUnhealthy: (run: Run) => this.recordFailure(run, 'unhealthy'),
       onStalled: (run: Run) => this.recordFailureOfTask(run, 'stalled'),
@@ -279,8 +281,12 @@
     const { reason, count } = admit(assignment, this.admissionStateFor(assignment, link));
     const admitted = assignment.runs.slice(0, count);
     const ownerId = this.connections.idOf(link);
+    const startDelayMs = this.startDelayFor(assignment);
     admitted.forEach(([index, run]) =>
-      this.session?.startRun(createRun(assignment, index, run, ownerId), assignment.spec),
+      this.session?.startRun(
+        createRun(assignment, index, run, ownerId, startDelayMs),
+        assignment.spec,
+      ),
     );
     const declined = assignment.runs.length - admitted.length;
     this.connections.recordAssignment(link, assignment.needs, declined > 0);
@@ -315,15 +321,24 @@
       runsOfStep: session?.select(isOfStep).length ?? 0,
       isTaskRunning: runs.some(([index]) => this.isTaskRunning(assignment, index)),
       isOnTrial: this.health.state === 'trial',
-      isOnProbation: this.isOnProbation,
+      isOnProbation: isOnProbation(this.runs, performance.now()),
     };
   }
 
-  private get isOnProbation(): boolean {
-    const startedAfter = performance.now() - PROBATION_MS;
-    const isOnProbation = ({ isSuspect, admittedAt }: Run) =>
-      isSuspect && admittedAt > startedAfter;
-    return (this.session?.select(isOnProbation).length ?? 0) > 0;
+  /** All runs that occupy resources of the worker. */
+  private get runs(): Run[] {
+    return this.session?.select(() => true) ?? [];
+  }
+
+  private startDelayFor({ isSuspect, job }: Assignment): number {
+    return isSuspect ? probationDelay(this.runs, job, performance.now()) : 0;
+  }
+
+  /** Tells whether a run that has waited may still start: what it was admitted on may have changed. */
+  private mayStart({ startBy }: Run): boolean {
+    const { clock, dataCenter } = this.options;
+    const isDataCenterOut = this.rules.outDataCenters.includes(dataCenter);
+    return !this.unavailableReason && !isDataCenterOut && clock() <= startBy;
   }
 
   private isTaskRunning({ job, occurrence, step }: Assignment, index: number): boolean {
@@ -337,7 +352,7 @@
   }
 
   private handleRunEnd(run: Run, how: RunEnd): void {
-    const ms = performance.now() - run.admittedAt;
+    const ms = performance.now() - run.startsAt;
     this.options.meter.ended(how, ms);
     this.options.log.info(
       { task: taskKey(run.task), run: run.run, how, ms: Math.round(ms) },
--- a/packages/gate/src/LostRuns.ts
+++ b/packages/gate/src/LostRuns.ts
@@ -41,7 +41,7 @@
     this.isCrashReported = true;
     return (
       [...activeRuns, ...this.expiredRuns]
-        .map((run) => ({ run, ageMs: crashedAt - run.admittedAt }))
+        .map((run) => ({ run, ageMs: crashedAt - run.startsAt }))
         // A run that was admitted after the crash did not reach the worker.
         .filter(({ ageMs }) => ageMs >= 0)
     );
--- a/packages/gate/src/SlownessEstimate.ts
+++ b/packages/gate/src/SlownessEstimate.ts
@@ -35,7 +35,7 @@
 const MOVE_GAIN_FACTOR = 1.3;
 
 const observableRuns = (runs: readonly Run[], now: number): Run[] =>
-  runs.filter(({ admittedAt, estimateMs }) => now - admittedAt >= MIN_RUN_AGE_MS && estimateMs > 0);
+  runs.filter(({ startsAt, estimateMs }) => now - startsAt >= MIN_RUN_AGE_MS && estimateMs > 0);
 
 /**
  * Estimates the slowness of a worker: the ratio of actual run times to those that the clients
@@ -84,7 +84,7 @@
   updateSlowdown(runs: readonly Run[], now: number): boolean {
     const observed = observableRuns(runs, now);
     if (new Set(observed.map(({ task }) => task.job)).size < MIN_OBSERVED_JOBS) return false;
-    const observedMs = observed.reduce((sum, { admittedAt }) => sum + now - admittedAt, 0);
+    const observedMs = observed.reduce((sum, { startsAt }) => sum + now - startsAt, 0);
     if (observedMs < MIN_OBSERVED_MS) return false;
     const doneMs = observed.reduce((sum, run) => sum + (run.percent / 100) * run.estimateMs, 0);
     const currentSlowness = observedMs / Math.max(1, doneMs);
@@ -124,10 +124,10 @@
  * @returns the runs to move
  */
 export const findSlowRuns = (runs: readonly Run[], slowness: number, now: number): Run[] =>
-  observableRuns(runs, now).filter(({ admittedAt, percent, bestSlowness }) => {
+  observableRuns(runs, now).filter(({ startsAt, percent, bestSlowness }) => {
     if (slowness < bestSlowness * MOVE_SLOWNESS_RATIO || percent < 1) return false;
-    const totalMs = ((now - admittedAt) * 100) / percent;
-    const remainingMs = totalMs - (now - admittedAt);
+    const totalMs = ((now - startsAt) * 100) / percent;
+    const remainingMs = totalMs - (now - startsAt);
     const restartedMs = (totalMs * bestSlowness) / slowness;
     return remainingMs > MOVE_GAIN_FACTOR * restartedMs + MOVE_COST_MS;
   });
--- a/packages/gate/src/WorkerSession.ts
+++ b/packages/gate/src/WorkerSession.ts
@@ -37,6 +37,8 @@
 /** Connection of a session to the worker and callbacks into the agent. */
 export type WorkerSessionHost = {
   worker: WorkerClient;
+  /** Tells whether a run that has waited for its start may still start. */
+  mayStart: (run: Run) => boolean;
   onRunEnded: (run: Run, how: RunEnd) => void;
   /** Called when the worker refuses a run as unhealthy. */
   onUnhealthy: (run: Run) => void;
@@ -193,15 +195,16 @@
   }
 
   /**
-   * Reserves resources for a run and sends the command to start it. The caller has checked that the run
-   * fits.
+   * Reserves resources for a run and sends the command to start it, at once or at the time that the run
+   * names. The caller has checked that the run fits.
    *
    * @param run - the run
    * @param spec - specification of the task, passed to the worker
    */
   startRun(run: Run, spec: string): void {
     this.track(run);
-    void this.sendStart(run, spec);
+    if (run.state !== 'waiting') void this.sendStart(run, spec);
+    else setTimeout(() => this.startWaiting(run, spec), run.startsAt - performance.now());
   }
 
   /**
@@ -222,6 +225,10 @@
    */
   stop(run: Run, endIfStopped: Run['endIfStopped'] = 'stopped'): void {
     if (run.state === 'stopping') return;
+    if (run.state === 'waiting') {
+      this.removeRun(run, 'notRun');
+      return;
+    }
     const wasStarting = run.state === 'starting';
     run.endIfStopped = endIfStopped;
     run.state = 'stopping';
@@ -241,6 +248,7 @@
     if (hasCrashed) this.reportCrash();
     this.hasEnded = true;
     clearTimeout(this.renewalTimer);
+    this.select(({ state }) => state === 'waiting').forEach((run) => this.stop(run));
     const unconfirmed = this.select(({ wasListed }) => !wasListed);
     this.select(({ wasListed }) => wasListed).forEach((run) => this.removeRun(run, 'lapsed'));
     this.host.onChanged();
@@ -253,6 +261,11 @@
     void this.stopUntilConfirmed(run);
   }
 
+  /** Runs that the worker has been told to start. */
+  private get sentRuns(): Run[] {
+    return this.select(({ state }) => state !== 'waiting');
+  }
+
   private get commandBase(): { worker: WorkerIdentity; token: number } {
     return { worker: this.identity, token: this.token };
   }
@@ -263,6 +276,16 @@
     if (clock !== undefined) this.lease.syncClock(clock);
   }
 
+  private startWaiting(run: Run, spec: string): void {
+    if (!this.isTracked(run)) return;
+    if (!this.host.mayStart(run)) {
+      this.stop(run);
+      return;
+    }
+    run.state = 'starting';
+    void this.sendStart(run, spec);
+  }
+
   private async sendStart(run: Run, spec: string): Promise<void> {
     const { task } = run;
     const answer = await this.host.worker.start({
@@ -392,7 +415,7 @@
   private reportCrash(): void {
     if (this.report.isLeaving) return;
     const crashedAt = this.contact.lostAt ?? performance.now();
-    const lostRuns = this.lostRuns.report(this.runs.values(), crashedAt);
+    const lostRuns = this.lostRuns.report(this.sentRuns, crashedAt);
     if (lostRuns) this.host.onCrashed(lostRuns);
   }
 
@@ -526,8 +549,8 @@
     const stalled = findStalledRuns(running, now);
     stalled.forEach((run) => this.host.onStalled(run));
     new Set([...stalled, ...this.host.findRunsToMove(running)]).forEach((run) => {
-      const { percent, estimateMs, admittedAt } = run;
-      const ms = Math.round(now - admittedAt);
+      const { percent, estimateMs, startsAt } = run;
+      const ms = Math.round(now - startsAt);
       this.host.log.warn(
         { task: taskKey(run.task), run: run.run, percent, estimateMs, ms },
         'run_stalled',
@@ -538,10 +561,10 @@
 
   /** Reports all runs as lapsed when their lease has expired while the worker did not answer. */
   private expireRunsIfUnresponsive(): void {
-    if (!this.contact.isSilent || this.runs.size === 0 || !this.lease.hasExpired) return;
+    const runs = this.sentRuns;
+    if (!this.contact.isSilent || runs.length === 0 || !this.lease.hasExpired) return;
     // No run may start until a list has shown which runs are still active on the worker.
     this.isReconciled = false;
-    const runs = [...this.runs.values()];
     this.lostRuns.addExpired(runs);
     this.host.onLost(runs);
     runs.forEach((run) => this.removeRun(run, 'lapsed'));
--- a/packages/gate/src/createRun.ts
+++ b/packages/gate/src/createRun.ts
@@ -1,4 +1,5 @@
 import type { Params } from '@marjorammast/protocol';
+import { MAX_ASSIGNMENT_AGE_MS } from './constants';
 import type { Run } from './run';
 
 /**
@@ -8,6 +9,7 @@
  * @param index - index of the task in its step
  * @param run - number of the run
  * @param ownerId - identifies the entry connection that assigned the run
+ * @param startDelayMs - time until the worker gets the command to start it, in milliseconds
  * @returns the run, which is not started yet
  */
 export const createRun = (
@@ -15,10 +17,11 @@
   index: number,
   run: number,
   ownerId: string,
+  startDelayMs: number,
 ): Run => {
   const { job, occurrence, step, route, needs, estimateMs } = assignment;
-  const { bestSlowness, isSuspect, hasFailedElsewhere } = assignment;
-  const now = performance.now();
+  const { bestSlowness, isSuspect, hasFailedElsewhere, echo, heldMs } = assignment;
+  const startsAt = performance.now() + startDelayMs;
   return {
     task: { job, occurrence, step, index },
     run,
@@ -27,11 +30,12 @@
     needs,
     estimateMs,
     bestSlowness,
-    admittedAt: now,
-    state: 'starting',
+    startsAt,
+    startBy: echo + heldMs + MAX_ASSIGNMENT_AGE_MS,
+    state: startDelayMs > 0 ? 'waiting' : 'starting',
     endIfStopped: 'stopped',
     percent: 0,
-    lastProgressAt: now,
+    lastProgressAt: startsAt,
     wasStarted: false,
     wasListed: false,
     isSuspect,
--- a/packages/gate/src/findSuspects.ts
+++ b/packages/gate/src/findSuspects.ts
@@ -2,8 +2,8 @@
 import type { LostRun } from './run';
 
 /**
- * Finds the runs that may have crashed their worker: those that had just been started. If one of them
- * was on probation, nothing was admitted after it, and the others are not suspected.
+ * Finds the runs that may have crashed their worker: those that had just been started. A run on probation
+ * starts apart from those of other jobs, so that the others are not suspected.
  *
  * @param lostRuns - the runs that the worker had
  * @returns the suspected runs
--- a/packages/gate/src/run.ts
+++ b/packages/gate/src/run.ts
@@ -14,9 +14,12 @@
   estimateMs: number;
   /** Slowness of fast workers when the run was admitted; see {@link SlownessEstimate}. */
   bestSlowness: number;
-  /** Monotonic time, in milliseconds. */
-  admittedAt: number;
-  state: 'starting' | 'running' | 'stopping';
+  /** Monotonic time at which the worker gets the command to start the run, in milliseconds. */
+  startsAt: number;
+  /** Time on the agent's clock until which the command may be sent, in milliseconds. */
+  startBy: number;
+  /** `waiting`: the command to start the run has not been sent. */
+  state: 'waiting' | 'starting' | 'running' | 'stopping';
   /** End to report when the worker lists the run as stopped. */
   endIfStopped: 'stopped' | 'stalled';
   percent: number;
@@ -35,6 +38,6 @@
 /** A run that was on a worker when it crashed. */
 export type LostRun = {
   run: Run;
-  /** Time from the run's admission to the crash, in milliseconds. */
+  /** Time from the command to start the run to the crash, in milliseconds. */
   ageMs: number;
 };
--- a/packages/gate/tests/GateAgent.test.ts
+++ b/packages/gate/tests/GateAgent.test.ts
@@ -1,6 +1,7 @@
 import { createLog } from '@marjorammast/telemetry';
 import { Link, createCallServer } from '@marjorammast/protocol';
 import type { Params } from '@marjorammast/protocol';
+import { PROBATION_MS } from '../src/constants';
 import { GateAgent } from '../src/GateAgent';
 import type { HoldResult, ListedEnd, WorkerClient, WorkerReport } from '../src/WorkerClient';
 
@@ -164,6 +165,41 @@
     agent.halt();
   });
 
+  // Guards against blaming a suspected task for the crash of one that had started just before it.
+  it('starts a suspected task apart from the tasks of other jobs', async () => {
+    const startedAt = new Map<string, number>();
+    const client = createWorkerClient(() => true);
+    const agent = GateAgent.create({
+      name: 'agent',
+      dataCenter: 'one',
+      worker: {
+        ...client,
+        start: (command) => {
+          startedAt.set(command.task.job, performance.now());
+          return client.start(command);
+        },
+      },
+      clock: () => performance.now(),
+      log: createLog('agent', 'silent'),
+      meter: { assigned: jest.fn(), ended: jest.fn(), crashed: jest.fn() },
+    });
+    agent.handleReport(report);
+    const { entryLink } = await attach(agent, 'entry');
+    await jest.advanceTimersByTimeAsync(10);
+    const assign = (job: string, isSuspect: boolean) =>
+      entryLink.call('assign', { ...assignment, job, isSuspect, echo: performance.now() });
+    void assign('first', false);
+    await jest.advanceTimersByTimeAsync(10);
+    void assign('suspect', true);
+    await jest.advanceTimersByTimeAsync(10);
+    const later = await assign('later', false);
+    await jest.advanceTimersByTimeAsync(300);
+    const distanceMs = (startedAt.get('suspect') ?? 0) - (startedAt.get('first') ?? 0);
+    expect(distanceMs).toBeGreaterThanOrEqual(PROBATION_MS);
+    expect(later).toMatchObject({ taken: [], reason: 'probation' });
+    agent.halt();
+  });
+
   // A report that the network held back may arrive after its worker has left.
   it('does not use a worker again for a report that it sent before it deregistered', async () => {
     const agent = GateAgent.create({
--- a/packages/gate/tests/WorkerSession.test.ts
+++ b/packages/gate/tests/WorkerSession.test.ts
@@ -45,7 +45,8 @@
   needs: { cpu: 1_000, memoryMb: 10, accelerators: 0 },
   estimateMs: 100_000,
   bestSlowness: 1,
-  admittedAt: performance.now(),
+  startsAt: performance.now(),
+  startBy: Infinity,
   state: 'starting',
   endIfStopped: 'stopped',
   percent: 0,
@@ -70,6 +71,7 @@
     holds: [] as HoldCommand[],
     born: BORN,
     isRefusing: false,
+    mayStart: true,
   };
   const refused = { ...noAnswer, wasRefused: true };
   const list = (): HoldResult => ({
@@ -95,6 +97,7 @@
         return answerLater(() => (fixture.isRefusing ? refused : list()));
       },
     },
+    mayStart: () => fixture.mayStart,
     onRunEnded: (_, how) => fixture.ends.push(how),
     onUnhealthy: jest.fn(),
     onStalled: jest.fn(),
@@ -109,6 +112,8 @@
   return Object.assign(fixture, { session, host });
 };
 
+type Fixture = ReturnType<typeof createFixture>;
+
 const advance = (ms: number) => jest.advanceTimersByTimeAsync(ms);
 
 describe('WorkerSession', () => {
@@ -183,6 +188,39 @@
     fixture.session.end();
   });
 
+  it.each([
+    ['it is no longer wanted', ({ session }: Fixture, run: Run) => session.stop(run)],
+    [
+      'what it was admitted on has changed',
+      (fixture: Fixture) => Object.assign(fixture, { mayStart: false }),
+    ],
+    ['the session ends', ({ session }: Fixture) => session.end()],
+  ])('never starts a run that waits for its start when %s', async (_, interrupt) => {
+    const fixture = createFixture();
+    await advance(20);
+    const run: Run = { ...createRun(0), startsAt: performance.now() + 50, state: 'waiting' };
+    fixture.session.startRun(run, '');
+    await advance(20);
+    expect(fixture.session.free.cpu).toBe(3_000);
+    interrupt(fixture, run);
+    await advance(100);
+    expect(fixture.starts).toEqual([]);
+    expect(fixture.ends).toEqual(['notRun']);
+    expect(fixture.session.end().unconfirmed).toEqual([]);
+  });
+
+  it('starts a run that waits at the time that it names', async () => {
+    const fixture = createFixture();
+    await advance(20);
+    const run: Run = { ...createRun(0), startsAt: performance.now() + 50, state: 'waiting' };
+    fixture.session.startRun(run, '');
+    await advance(49);
+    expect(fixture.starts).toHaveLength(0);
+    await advance(1);
+    expect(fixture.starts).toHaveLength(1);
+    fixture.session.end();
+  });
+
   it('is unavailable while the worker lists runs of an earlier agent process, and stops them', async () => {
     const fixture = createFixture();
     fixture.running = [{ task: createRun(3).task, run: 2, percent: 40 }];
