A worker shows no room while a suspected task is on probation

Callers would see, at hundreds of VMs: late answers while workers crash, as entries and agents are busy with assignments that are declined. Cause: the view of a worker on probation showed its free resources, so that each entry with waiting tasks tried it every 50 ms. The load grows with entries times workers. The test added to GateAgent.test.ts failed before. Ruled out: a longer pause after such a decline, which would outlast the probation. Change: view.free is empty during a probation, and the timer that ends ejections tells the entries when it is over.

--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -17,7 +17,7 @@
 import { createRun } from './createRun';
 import { EntryConnections } from './EntryConnections';
 import { incarnationOf } from './incarnationOf';
-import { isOnProbation, probationDelay } from './probation';
+import { probationDelay, probationRemainingMs } from './probation';
 import { SlownessEstimate, findSlowRuns } from './SlownessEstimate';
 import { WorkerHealth } from './WorkerHealth';
 import { WorkerSession } from './WorkerSession';
@@ -73,7 +73,7 @@
 
   private isStopping = false;
 
-  /** Ends an ejection or a slowdown, which changes the view without any other event. */
+  /** Ends an ejection, a slowdown or a probation, which changes the view without any other event. */
   private recoveryTimer: NodeJS.Timeout | undefined;
 
   private constructor(private readonly options: GateAgentOptions) {
@@ -161,7 +161,7 @@
       service: session?.latestReport.service ?? '',
       labels: session?.latestReport.labels ?? [],
       capacity: session?.latestReport.capacity ?? NO_RESOURCES,
-      free: session?.free ?? NO_RESOURCES,
+      free: session && !this.isOnProbation ? session.free : NO_RESOURCES,
       state: reason ? 'closed' : openState,
       reason,
       slowness: this.slowness.value,
@@ -289,6 +289,7 @@
       ),
     );
     const declined = assignment.runs.length - admitted.length;
+    if (assignment.isSuspect && admitted.length > 0) this.scheduleRecovery();
     this.connections.recordAssignment(link, assignment.needs, declined > 0);
     this.options.meter.assigned(admitted.length, declined, reason ?? '');
     const entry = this.connections.nameOf(link);
@@ -321,7 +322,7 @@
       runsOfStep: session?.select(isOfStep).length ?? 0,
       isTaskRunning: runs.some(([index]) => this.isTaskRunning(assignment, index)),
       isOnTrial: this.health.state === 'trial',
-      isOnProbation: isOnProbation(this.runs, performance.now()),
+      isOnProbation: this.isOnProbation,
     };
   }
 
@@ -330,6 +331,11 @@
     return this.session?.select(() => true) ?? [];
   }
 
+  /** True while nothing is admitted since a suspected run has just started, or is about to. */
+  private get isOnProbation(): boolean {
+    return probationRemainingMs(this.runs, performance.now()) > 0;
+  }
+
   private startDelayFor({ isSuspect, job }: Assignment): number {
     return isSuspect ? probationDelay(this.runs, job, performance.now()) : 0;
   }
@@ -394,11 +400,15 @@
     this.scheduleRecovery();
   }
 
-  /** Updates the entries once an ejection or a slowdown is over. */
+  /** Updates the entries once an ejection, a slowdown or a probation is over. */
   private scheduleRecovery(): void {
     clearTimeout(this.recoveryTimer);
     const now = performance.now();
-    const delays = [this.health.ejectionRemainingMs, this.slowness.slowdownRemainingMs(now)];
+    const delays = [
+      this.health.ejectionRemainingMs,
+      this.slowness.slowdownRemainingMs(now),
+      probationRemainingMs(this.runs, now),
+    ];
     const delayMs = Math.min(...delays.filter((ms) => ms > 0));
     if (!Number.isFinite(delayMs)) return;
     this.recoveryTimer = setTimeout(
--- a/packages/gate/src/probation.ts
+++ b/packages/gate/src/probation.ts
@@ -2,12 +2,20 @@
 import type { Run } from './run';
 
 /**
+ * Finds out for how long nothing else is admitted, since a suspected run is about to start or has just
+ * started.
+ *
  * @param runs - runs that occupy resources of the worker
  * @param now - monotonic time, in milliseconds
- * @returns true while nothing else is admitted, since a suspected run is about to start or has just started
+ * @returns the remaining time, in milliseconds; 0 when no run is on probation
  */
-export const isOnProbation = (runs: readonly Run[], now: number): boolean =>
-  runs.some(({ isSuspect, startsAt }) => isSuspect && startsAt + PROBATION_MS > now);
+export const probationRemainingMs = (runs: readonly Run[], now: number): number =>
+  Math.max(
+    0,
+    ...runs
+      .filter(({ isSuspect }) => isSuspect)
+      .map(({ startsAt }) => startsAt + PROBATION_MS - now),
+  );
 
 /**
  * Finds out how long a suspected run is held back. Load pattern: workers that start tasks many times a second
--- a/packages/gate/tests/GateAgent.test.ts
+++ b/packages/gate/tests/GateAgent.test.ts
@@ -1,7 +1,7 @@
 import { createLog } from '@marjorammast/telemetry';
-import { Link, createCallServer } from '@marjorammast/protocol';
+import { Link, NO_RESOURCES, createCallServer } from '@marjorammast/protocol';
 import type { Params } from '@marjorammast/protocol';
-import { PROBATION_MS } from '../src/constants';
+import { PROBATION_MS, VIEW_DELAY_MS } from '../src/constants';
 import { GateAgent } from '../src/GateAgent';
 import type { HoldResult, ListedEnd, WorkerClient, WorkerReport } from '../src/WorkerClient';
 
@@ -200,6 +200,30 @@
     agent.halt();
   });
 
+  // Guards against entries that assign tasks again and again to a worker that admits none of them. The load:
+  // many entries with waiting tasks and one worker that has just started a suspected task.
+  it('shows no room while a suspected task is on probation, and shows it again afterwards', async () => {
+    const agent = GateAgent.create({
+      name: 'agent',
+      dataCenter: 'one',
+      worker: createWorkerClient(() => true),
+      clock: () => performance.now(),
+      log: createLog('agent', 'silent'),
+      meter: { assigned: jest.fn(), ended: jest.fn(), crashed: jest.fn() },
+    });
+    agent.handleReport(report);
+    const { entryLink, views } = await attach(agent, 'entry');
+    await jest.advanceTimersByTimeAsync(10);
+    const run = { ...assignment, isSuspect: true, echo: performance.now() };
+    const answer = await entryLink.call('assign', run);
+    expect(answer).toMatchObject({ taken: [0], free: NO_RESOURCES });
+    const declined = await entryLink.call('assign', { ...run, job: 'b' });
+    expect(declined).toMatchObject({ taken: [], free: NO_RESOURCES });
+    await jest.advanceTimersByTimeAsync(PROBATION_MS + VIEW_DELAY_MS + 5);
+    expect(views.pop()?.free.cpu).toBeGreaterThan(0);
+    agent.halt();
+  });
+
   // A report that the network held back may arrive after its worker has left.
   it('does not use a worker again for a report that it sent before it deregistered', async () => {
     const agent = GateAgent.create({
--- a/packages/gate/tests/probation.test.ts
+++ b/packages/gate/tests/probation.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
 import { PROBATION_MS } from '../src/constants';
-import { isOnProbation, probationDelay } from '../src/probation';
+import { probationDelay, probationRemainingMs } from '../src/probation';
 import type { Run } from '../src/run';
 
 const createRun = (job: string, startsAt: number, isSuspect = false): Run =>
@@ -25,9 +25,9 @@
 
   it('lasts from the admission of a suspected run until the probation time after its start', () => {
     const run = createRun('a', 500, true);
-    expect(isOnProbation([run], 450)).toBe(true);
-    expect(isOnProbation([run], 500 + PROBATION_MS - 1)).toBe(true);
-    expect(isOnProbation([run], 500 + PROBATION_MS)).toBe(false);
-    expect(isOnProbation([createRun('a', 500)], 500)).toBe(false);
+    expect(probationRemainingMs([run], 450)).toBe(50 + PROBATION_MS);
+    expect(probationRemainingMs([run], 500 + PROBATION_MS - 1)).toBe(1);
+    expect(probationRemainingMs([run], 500 + PROBATION_MS)).toBe(0);
+    expect(probationRemainingMs([createRun('a', 500)], 500)).toBe(0);
   });
 });
