A confined route looks up its agents once for each job, not once for each agent

Callers would see, at hundreds of VMs: late answers of entries that are busy with the waiting jobs of a confined route. Cause: WorkerRooms built the key of its cache anew for each agent that it looked at, in each pass and for each waiting job. Change: the choice is made once for a job, and comes before the comparison of resources.

--- a/packages/dispatch/src/WorkerRooms.ts
+++ b/packages/dispatch/src/WorkerRooms.ts
@@ -94,9 +94,9 @@
    * @returns true when one of the workers that can run its tasks is not closed
    */
   hasWorkersFor(step: Step): boolean {
+    const isChosen = this.choiceFor(step);
     return this.workers.some(
-      ({ agent, view }) =>
-        view.state !== 'closed' && canRun(step, view) && this.isChosenFor(step, agent),
+      ({ agent, view }) => isChosen(agent) && view.state !== 'closed' && canRun(step, view),
     );
   }
 
@@ -130,9 +130,10 @@
     avoidedAgents: ReadonlySet<string>,
     reservedTasks: number,
   ): Candidate[] {
+    const isChosen = this.choiceFor(step);
     const usable = this.rooms.filter(
       ({ connection, free, view }) =>
-        fits(step.needs, free) && canRun(step, view) && this.isChosenFor(step, connection.name),
+        isChosen(connection.name) && fits(step.needs, free) && canRun(step, view),
     );
     const preferred = usable.filter(
       ({ connection: { name } }) => !avoidedAgents.has(name) && !this.avoidedAgents.has(name),
@@ -152,12 +153,13 @@
     if (room) room.free = room.connection.free;
   }
 
-  private isChosenFor(step: Step, agent: string): boolean {
-    if (!this.choose) return true;
+  /** Returns whether an agent is among those chosen for a step. */
+  private choiceFor(step: Step): (agent: string) => boolean {
+    if (!this.choose) return () => true;
     const key = JSON.stringify([step.label, step.needs]);
     const chosen = this.chosenAgents.get(key) ?? new Set(this.choose(this.findAgentsFor(step)));
     this.chosenAgents.set(key, chosen);
-    return chosen.has(agent);
+    return (agent) => chosen.has(agent);
   }
 
   private findAgentsFor(step: Step): string[] {
