The age of a run that waited counts from its start, also when its timer is late

Callers would see: a culprit that is not suspected, when its agent was busy for longer than the probation. Cause: startsAt was the planned time. Found by reading the diff; the test added to WorkerSession.test.ts failed before. Change: startWaiting sets it.

--- a/packages/gate/src/WorkerSession.ts
+++ b/packages/gate/src/WorkerSession.ts
@@ -283,6 +283,9 @@
       return;
     }
     run.state = 'starting';
+    // The timer may be late, and the age of the run counts from its start.
+    run.startsAt = performance.now();
+    run.lastProgressAt = run.startsAt;
     void this.sendStart(run, spec);
   }
 
--- a/packages/gate/tests/WorkerSession.test.ts
+++ b/packages/gate/tests/WorkerSession.test.ts
@@ -221,6 +221,17 @@
     fixture.session.end();
   });
 
+  it('counts the age of a run that waited from its start, also when its timer is late', async () => {
+    const fixture = createFixture();
+    await advance(20);
+    const run: Run = { ...createRun(0), startsAt: performance.now() - 40, state: 'waiting' };
+    fixture.session.startRun(run, '');
+    await advance(5);
+    expect(fixture.starts).toHaveLength(1);
+    expect(performance.now() - run.startsAt).toBeLessThanOrEqual(5);
+    fixture.session.end();
+  });
+
   it('is unavailable while the worker lists runs of an earlier agent process, and stops them', async () => {
     const fixture = createFixture();
     fixture.running = [{ task: createRun(3).task, run: 2, percent: 40 }];
