--- a/packages/gate/tests/GateAgent.test.ts
+++ b/packages/gate/tests/GateAgent.test.ts
@@ -56,6 +56,16 @@
   };
 };
 
+const createAgent = (worker: WorkerClient): GateAgent =>
+  GateAgent.create({
+    name: 'agent',
+    dataCenter: 'one',
+    worker,
+    clock: () => performance.now(),
+    log: createLog('agent', 'silent'),
+    meter: { assigned: jest.fn(), ended: jest.fn(), crashed: jest.fn() },
+  });
+
 const assignment: Params<'assign'> = {
   occurrence: 0,
   step: 0,
@@ -119,14 +129,7 @@
   // last broadcast.
   it('sends the view to an entry that attached while the view differed from the last broadcast', async () => {
     let isReconciled = true;
-    const agent = GateAgent.create({
-      name: 'agent',
-      dataCenter: 'one',
-      worker: createWorkerClient(() => isReconciled),
-      clock: () => performance.now(),
-      log: createLog('agent', 'silent'),
-      meter: { assigned: jest.fn(), ended: jest.fn(), crashed: jest.fn() },
-    });
+    const agent = createAgent(createWorkerClient(() => isReconciled));
     agent.handleReport(report);
     const first = await attach(agent, 'first');
     await jest.advanceTimersByTimeAsync(600);
@@ -146,14 +149,7 @@
     ['keeps a worker on which tasks fail that have failed elsewhere', true, 'open'],
     ['ejects a worker on which tasks fail that have not failed elsewhere', false, 'closed'],
   ])('%s', async (_, hasFailedElsewhere, state) => {
-    const agent = GateAgent.create({
-      name: 'agent',
-      dataCenter: 'one',
-      worker: createFailingWorkerClient(),
-      clock: () => performance.now(),
-      log: createLog('agent', 'silent'),
-      meter: { assigned: jest.fn(), ended: jest.fn(), crashed: jest.fn() },
-    });
+    const agent = createAgent(createFailingWorkerClient());
     agent.handleReport(report);
     const { entryLink } = await attach(agent, 'entry');
     await jest.advanceTimersByTimeAsync(100);
@@ -169,19 +165,12 @@
   it('starts a suspected task apart from the tasks of other jobs', async () => {
     const startedAt = new Map<string, number>();
     const client = createWorkerClient(() => true);
-    const agent = GateAgent.create({
-      name: 'agent',
-      dataCenter: 'one',
-      worker: {
-        ...client,
-        start: (command) => {
-          startedAt.set(command.task.job, performance.now());
-          return client.start(command);
-        },
+    const agent = createAgent({
+      ...client,
+      start: (command) => {
+        startedAt.set(command.task.job, performance.now());
+        return client.start(command);
       },
-      clock: () => performance.now(),
-      log: createLog('agent', 'silent'),
-      meter: { assigned: jest.fn(), ended: jest.fn(), crashed: jest.fn() },
     });
     agent.handleReport(report);
     const { entryLink } = await attach(agent, 'entry');
@@ -203,14 +192,7 @@
   // Guards against entries that assign tasks again and again to a worker that admits none of them. The load:
   // many entries with waiting tasks and one worker that has just started a suspected task.
   it('shows no room while a suspected task is on probation, and shows it again afterwards', async () => {
-    const agent = GateAgent.create({
-      name: 'agent',
-      dataCenter: 'one',
-      worker: createWorkerClient(() => true),
-      clock: () => performance.now(),
-      log: createLog('agent', 'silent'),
-      meter: { assigned: jest.fn(), ended: jest.fn(), crashed: jest.fn() },
-    });
+    const agent = createAgent(createWorkerClient(() => true));
     agent.handleReport(report);
     const { entryLink, views } = await attach(agent, 'entry');
     await jest.advanceTimersByTimeAsync(10);
@@ -226,14 +208,7 @@
 
   // A report that the network held back may arrive after its worker has left.
   it('does not use a worker again for a report that it sent before it deregistered', async () => {
-    const agent = GateAgent.create({
-      name: 'agent',
-      dataCenter: 'one',
-      worker: createWorkerClient(() => true),
-      clock: () => performance.now(),
-      log: createLog('agent', 'silent'),
-      meter: { assigned: jest.fn(), ended: jest.fn(), crashed: jest.fn() },
-    });
+    const agent = createAgent(createWorkerClient(() => true));
     agent.handleReport(report);
     await jest.advanceTimersByTimeAsync(10);
     expect(agent.view.state).toBe('open');
