--- a/packages/dispatch/tests/WorkerRooms.test.ts
+++ b/packages/dispatch/tests/WorkerRooms.test.ts
@@ -55,6 +55,18 @@
     expect(others.findCandidates(step(1), new Set(), 0)).toEqual([]);
   });
 
+  // The load: many agents and a waiting job of a confined route, which is looked at in each pass.
+  it('describes a step once for each look at the agents of a confined route, not for each agent', () => {
+    const connections = Array.from({ length: 160 }, (_, index) =>
+      createConnection(`agent-${index}`, 4),
+    );
+    const rooms = roomsOf(connections).restrictTo((agents) => agents.slice(0, 40));
+    const stringify = jest.spyOn(JSON, 'stringify');
+    expect(rooms.findCandidates(step(8), new Set(), 0)).toHaveLength(40);
+    expect(stringify).toHaveBeenCalledTimes(1);
+    stringify.mockRestore();
+  });
+
   it('has workers for a step while one that can run its tasks is not closed', () => {
     const small = { ...NEEDS, cpu: NEEDS.cpu - 1 };
     const rooms = roomsOf([
