Restore a test that went lost: a task waits once for a worker whose agent was lost too

Cause: rewrote the end of CrashRecords.test.ts for the new arguments and dropped this case with it, unmentioned.

--- a/packages/dispatch/tests/CrashRecords.test.ts
+++ b/packages/dispatch/tests/CrashRecords.test.ts
@@ -119,6 +119,14 @@
     expect(records.mustWait('a', 0)).toBe(false);
   });
 
+  it('makes a task wait once for a worker whose agent was lost too', () => {
+    const records = CrashRecords.create();
+    ['w1', 'w2', 'w3'].forEach((name) => records.recordLoss(name, name, [createRun(false)]));
+    expect(records.mustWait('a', 0)).toBe(true);
+    ['w1', 'w2', 'w3'].forEach((name) => records.record(createCrash(name, 0, false, false)));
+    expect(records.mustWait('a', 0)).toBe(false);
+  });
+
   // Guards against forgetting crashes that an agent could not report, since it was killed meanwhile.
   it('counts a crash when a lost worker has another incarnation on its return', () => {
     const records = CrashRecords.create();
