Observability: an agent logs on which sign it takes a run for ended, and a run that is still listed afterwards

Change: run_ended has sign and stopMs (time since the stop was wanted); ended_run_listed warns when a list that was requested after the reported end shows the run; metrics marjorammast_run_ends by sign and marjorammast_ends_contradicted. No decision changes. Conclusion: each belief can now be counted by the sign that it rests on.

--- a/marjorammast-app/src/gateAgent.ts
+++ b/marjorammast-app/src/gateAgent.ts
@@ -18,6 +18,12 @@
   const metrics = createPrometheusMetrics();
   const runTimes = metrics.histogram('marjorammast_run_ms', 'Time of a run', ['how']);
   const assignments = metrics.counter('marjorammast_assigned', 'Runs by answer', ['answer']);
+  const ends = metrics.counter('marjorammast_run_ends', 'Runs by what showed their end', ['sign']);
+  const contradictions = metrics.counter(
+    'marjorammast_ends_contradicted',
+    'Runs that were listed as running after their end was reported',
+    [],
+  );
   const crashes = metrics.counter('marjorammast_worker_crashes', 'Crashes of the worker', []);
   const lostByCrash = metrics.counter('marjorammast_runs_lost', 'Runs on crashed workers', []);
   const agent = GateAgent.create({
@@ -31,7 +37,11 @@
         assignments.inc({ answer: 'taken' }, admitted);
         if (declined > 0) assignments.inc({ answer: reason }, declined);
       },
-      ended: (how, ms) => runTimes.observe({ how }, ms),
+      ended: (how, ms, sign) => {
+        runTimes.observe({ how }, ms);
+        ends.inc({ sign });
+      },
+      endContradicted: () => contradictions.inc(),
       crashed: (lostRuns) => {
         crashes.inc();
         lostByCrash.inc(lostRuns);
--- a/packages/gate/src/EndedRuns.ts
+++ b/packages/gate/src/EndedRuns.ts
@@ -38,6 +38,16 @@
     return ended !== undefined && run <= ended.run;
   }
 
+  /**
+   * @param task - task of the run
+   * @param run - number of the run
+   * @returns monotonic time at which that run ended, in milliseconds; `undefined` when it is not known
+   */
+  endedAt(task: TaskId, run: number): number | undefined {
+    const ended = this.ends.get(taskKey(task));
+    return ended?.run === run ? ended.at : undefined;
+  }
+
   /** Removes runs whose retention time has passed. */
   expire(): void {
     const oldestKept = performance.now() - ENDED_RETENTION_MS;
--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -21,14 +21,16 @@
 import { SlownessEstimate, findSlowRuns } from './SlownessEstimate';
 import { WorkerHealth } from './WorkerHealth';
 import { WorkerSession } from './WorkerSession';
-import type { LostRun, Run } from './run';
+import type { EndSign, LostRun, Run } from './run';
 import type { SessionHandover } from './WorkerSession';
 import type { WorkerClient, WorkerIdentity, WorkerReport } from './WorkerClient';
 
 /** Metrics that an agent reports. */
 export type GateMeter = {
   assigned: (admitted: number, declined: number, reason: string) => void;
-  ended: (how: RunEnd, ms: number) => void;
+  ended: (how: RunEnd, ms: number, sign: EndSign) => void;
+  /** A run is still running after its end was reported. */
+  endContradicted: () => void;
   crashed: (lostRuns: number) => void;
 };
 
@@ -189,7 +191,8 @@
     const host = {
       worker: this.options.worker,
       mayStart: (run: Run) => this.mayStart(run),
-      onRunEnded: (run: Run, how: RunEnd) => this.handleRunEnd(run, how),
+      onRunEnded: (run: Run, how: RunEnd, sign: EndSign) => this.handleRunEnd(run, how, sign),
+      onEndContradicted: () => this.options.meter.endContradicted(),
       onUnhealthy: (run: Run) => this.recordFailure(run, 'unhealthy'),
       onStalled: (run: Run) => this.recordFailureOfTask(run, 'stalled'),
       onChanged: () => this.connections.handleChange(),
@@ -228,7 +231,7 @@
   private expireUnconfirmed(unconfirmed: readonly Run[]): void {
     if (this.handover.unconfirmed !== unconfirmed) return;
     this.handover = { ...this.handover, unconfirmed: [] };
-    unconfirmed.forEach((run) => this.handleRunEnd(run, 'lapsed'));
+    unconfirmed.forEach((run) => this.handleRunEnd(run, 'lapsed', 'notTakenOver'));
   }
 
   private createServer(): CallServer {
@@ -357,11 +360,14 @@
     return runs.length;
   }
 
-  private handleRunEnd(run: Run, how: RunEnd): void {
+  private handleRunEnd(run: Run, how: RunEnd, sign: EndSign): void {
     const ms = performance.now() - run.startsAt;
-    this.options.meter.ended(how, ms);
+    this.options.meter.ended(how, ms, sign);
+    const { stopWantedAt } = run;
+    const stopMs =
+      stopWantedAt === undefined ? undefined : Math.round(performance.now() - stopWantedAt);
     this.options.log.info(
-      { task: taskKey(run.task), run: run.run, how, ms: Math.round(ms) },
+      { task: taskKey(run.task), run: run.run, how, sign, ms: Math.round(ms), stopMs },
       'run_ended',
     );
     if (how === 'done') this.recordSuccess(run, ms);
--- a/packages/gate/src/WorkerSession.ts
+++ b/packages/gate/src/WorkerSession.ts
@@ -13,7 +13,7 @@
 import { EndedRuns } from './EndedRuns';
 import { findStalledRuns } from './findStalledRuns';
 import { LostRuns } from './LostRuns';
-import type { LostRun, Run } from './run';
+import type { EndSign, LostRun, Run } from './run';
 import { WorkerContact } from './WorkerContact';
 import { WorkerLease } from './WorkerLease';
 import type {
@@ -39,7 +39,9 @@
   worker: WorkerClient;
   /** Tells whether a run that has waited for its start may still start. */
   mayStart: (run: Run) => boolean;
-  onRunEnded: (run: Run, how: RunEnd) => void;
+  onRunEnded: (run: Run, how: RunEnd, sign: EndSign) => void;
+  /** Called when the worker lists a run as running whose end has been reported before. */
+  onEndContradicted: () => void;
   /** Called when the worker refuses a run as unhealthy. */
   onUnhealthy: (run: Run) => void;
   /** Called when a run makes no progress. */
@@ -226,9 +228,10 @@
   stop(run: Run, endIfStopped: Run['endIfStopped'] = 'stopped'): void {
     if (run.state === 'stopping') return;
     if (run.state === 'waiting') {
-      this.removeRun(run, 'notRun');
+      this.removeRun(run, 'notRun', 'notSent');
       return;
     }
+    run.stopWantedAt ??= performance.now();
     const wasStarting = run.state === 'starting';
     run.endIfStopped = endIfStopped;
     run.state = 'stopping';
@@ -250,7 +253,9 @@
     clearTimeout(this.renewalTimer);
     this.select(({ state }) => state === 'waiting').forEach((run) => this.stop(run));
     const unconfirmed = this.select(({ wasListed }) => !wasListed);
-    this.select(({ wasListed }) => wasListed).forEach((run) => this.removeRun(run, 'lapsed'));
+    this.select(({ wasListed }) => wasListed).forEach((run) =>
+      this.removeRun(run, 'lapsed', 'sessionEnded'),
+    );
     this.host.onChanged();
     return { token: this.highestSentToken, unconfirmed };
   }
@@ -313,13 +318,13 @@
           this.recordContact(clock);
           if (reason === 'unhealthy') this.host.onUnhealthy(run);
           this.isFull ||= reason === 'room';
-          this.removeRun(run, 'notRun');
+          this.removeRun(run, 'notRun', 'startRefused');
         }
       })
       .with({ type: 'noAnswer' }, ({ detail, wasRefused }) => {
         this.host.log.warn({ task: taskKey(task), run: run.run, detail }, 'start_unanswered');
         // Without a connection the command was not sent.
-        if (wasRefused) this.removeRun(run, 'notRun');
+        if (wasRefused) this.removeRun(run, 'notRun', 'notSent');
         this.recordUnanswered('start', detail, wasRefused);
         if (!wasRefused) void this.stopUntilConfirmed(run);
       })
@@ -346,7 +351,7 @@
       const cannotStart =
         stopped.type === 'accepted' || (stopped.type === 'refused' && stopped.reason === 'lowRun');
       if (cannotStart && listed && !this.isInList(run, listed)) {
-        this.removeRun(run, 'notRun');
+        this.removeRun(run, 'notRun', 'stopConfirmed');
         return;
       }
       await sleep(RETRY_PAUSE_MS);
@@ -364,12 +369,13 @@
   }
 
   private async fetchRunList(): Promise<RunList | undefined> {
+    const requestedAt = performance.now();
     const answer = await this.host.worker.hold({
       ...this.commandBase,
       lastEnd: this.lastEndNumber,
       waitMs: 0,
     });
-    return this.handleHoldAnswer(answer);
+    return this.handleHoldAnswer(answer, requestedAt);
   }
 
   private track(run: Run): void {
@@ -408,9 +414,10 @@
     const leaseUntil = isRenewal ? this.lease.extend() : undefined;
     if (waitMs === 0 && isRenewal) this.isRenewing = true;
     const command = { ...this.commandBase, lastEnd: this.lastEndNumber, leaseUntil, waitMs };
+    const requestedAt = performance.now();
     const answer = await this.host.worker.hold(command);
     if (waitMs === 0 && isRenewal) this.isRenewing = false;
-    const list = this.handleHoldAnswer(answer);
+    const list = this.handleHoldAnswer(answer, requestedAt);
     if (list) this.stopStalledRuns();
     return list;
   }
@@ -431,7 +438,7 @@
     }
   }
 
-  private handleHoldAnswer(answer: HoldResult): RunList | undefined {
+  private handleHoldAnswer(answer: HoldResult, requestedAt: number): RunList | undefined {
     if (this.hasEnded) return undefined;
     return match(answer)
       .with({ type: 'list' }, ({ list }) => {
@@ -444,6 +451,7 @@
         this.recordContact(list.clock);
         this.listedAt = performance.now();
         list.ended.forEach((end) => this.recordEnd(end.number, end.task, end.run, end.how));
+        this.findContradictedEnds(list.running, requestedAt);
         this.reconcileRunning(list.running);
         if (wasUnresponsive) this.host.onChanged();
         return list;
@@ -499,7 +507,9 @@
   private handleCrash(): void {
     this.reportCrash();
     this.isReconciled = false;
-    this.select(({ wasStarted }) => wasStarted).forEach((run) => this.removeRun(run, 'lapsed'));
+    this.select(({ wasStarted }) => wasStarted).forEach((run) =>
+      this.removeRun(run, 'lapsed', 'connectionRefused'),
+    );
   }
 
   private recordEnd(number: number, task: TaskId, run: number, how: ListedRunEnd): void {
@@ -508,7 +518,18 @@
     this.isFull = false;
     const known = this.find(task);
     if (!known || known.run !== run) return;
-    this.removeRun(known, how === 'stopped' ? known.endIfStopped : how);
+    this.removeRun(known, how === 'stopped' ? known.endIfStopped : how, 'listed');
+  }
+
+  /** Logs runs that are running although their end was reported before the list was requested. */
+  private findContradictedEnds(running: readonly ListedRun[], requestedAt: number): void {
+    running.forEach(({ task, run }) => {
+      const endedAt = this.endedRuns.endedAt(task, run);
+      if (endedAt === undefined || endedAt > requestedAt) return;
+      const sinceMs = Math.round(performance.now() - endedAt);
+      this.host.log.warn({ task: taskKey(task), run, sinceMs }, 'ended_run_listed');
+      this.host.onEndContradicted();
+    });
   }
 
   private reconcileRunning(running: readonly ListedRun[]): void {
@@ -570,13 +591,13 @@
     this.isReconciled = false;
     this.lostRuns.addExpired(runs);
     this.host.onLost(runs);
-    runs.forEach((run) => this.removeRun(run, 'lapsed'));
+    runs.forEach((run) => this.removeRun(run, 'lapsed', 'leaseExpired'));
   }
 
-  private removeRun(run: Run, how: RunEnd): void {
+  private removeRun(run: Run, how: RunEnd, sign: EndSign): void {
     this.runs.delete(taskKey(run.task));
     this.endedRuns.add(run.task, run.run);
-    this.host.onRunEnded(run, how);
+    this.host.onRunEnded(run, how, sign);
   }
 }
 
--- a/packages/gate/src/run.ts
+++ b/packages/gate/src/run.ts
@@ -33,8 +33,29 @@
   isSuspect: boolean;
   /** Another run of the task has failed or stalled on another worker. */
   hasFailedElsewhere: boolean;
+  /** Monotonic time from which the run is to be stopped, in milliseconds. */
+  stopWantedAt?: number;
 };
 
+/** What showed an agent that a run has ended or never starts; logged with the end of the run. */
+export type EndSign =
+  /** The worker has listed the end. */
+  | 'listed'
+  /** The start was not sent to the worker. */
+  | 'notSent'
+  /** The worker has refused the start. */
+  | 'startRefused'
+  /** The worker has accepted a stop, and a later list does not show the run. */
+  | 'stopConfirmed'
+  /** All leases that were requested from the worker have expired. */
+  | 'leaseExpired'
+  /** Nothing accepts connections at the worker's address. */
+  | 'connectionRefused'
+  /** The session with the incarnation of the worker has ended. */
+  | 'sessionEnded'
+  /** No session has taken the run over in time. */
+  | 'notTakenOver';
+
 /** A run that was on a worker when it crashed. */
 export type LostRun = {
   run: Run;
--- a/packages/gate/tests/GateAgent.test.ts
+++ b/packages/gate/tests/GateAgent.test.ts
@@ -63,7 +63,12 @@
     worker,
     clock: () => performance.now(),
     log: createLog('agent', 'silent'),
-    meter: { assigned: jest.fn(), ended: jest.fn(), crashed: jest.fn() },
+    meter: {
+      assigned: jest.fn(),
+      ended: jest.fn(),
+      endContradicted: jest.fn(),
+      crashed: jest.fn(),
+    },
   });
 
 const assignment: Params<'assign'> = {
--- a/packages/gate/tests/WorkerSession.test.ts
+++ b/packages/gate/tests/WorkerSession.test.ts
@@ -99,6 +99,7 @@
     },
     mayStart: () => fixture.mayStart,
     onRunEnded: (_, how) => fixture.ends.push(how),
+    onEndContradicted: jest.fn(),
     onUnhealthy: jest.fn(),
     onStalled: jest.fn(),
     onChanged: jest.fn(),
--- a/packages/proofs/tests/support/DispatchSimulation.ts
+++ b/packages/proofs/tests/support/DispatchSimulation.ts
@@ -234,7 +234,12 @@
       worker: worker.createClient(() => liveness.isAlive),
       clock: () => performance.now(),
       log: this.log,
-      meter: { assigned: () => undefined, ended: () => undefined, crashed: () => undefined },
+      meter: {
+        assigned: () => undefined,
+        ended: () => undefined,
+        endContradicted: () => undefined,
+        crashed: () => undefined,
+      },
     });
     this.agents[index] = Object.assign(liveness, { name, node });
     this.network.listen(name, node.server);
