A run that nobody waits for is not kept alive by the lease of its neighbours

Cause: all runs of a worker share one lease. When an entry is killed or a client leaves, the agent stops the runs; while the worker leaves that stop unanswered, every start and renewal for other runs extended the lease of the unwanted run too. The client sends its job again 1.3 s later, an entry that lost the agent starts the task elsewhere after 1 s: both count on an end by then. Class of fault: a lease that is renewed for a resource by others than the one that it belongs to; it no longer bounds anything. Ruled out: stopping faster (a stop is lost with the same probability each time; no number of tries is a bound). Change: from the moment a run has no owner until its end is listed or confirmed, and while a list shows unknown runs, neither starts nor renewals extend the lease; a start gets what is left of it, and with less than half of it the worker is closed. Before: WorkerSession.test 'does not extend the lease while a run that nobody waits for may be active' fails with the extension as it was (stays open, expected 'run not stopped'). Conclusion: an unwanted run ends at most one lease after its owner is gone, whatever the worker does with the stop.

--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -83,7 +83,7 @@
     this.connections = EntryConnections.create({
       view: () => this.view,
       ownersOfRuns: () => new Set(this.runs.map((run) => run.ownerId)),
-      onDetached: (id) => this.stopRuns((run) => run.ownerId === id),
+      onDetached: (id) => this.abandonRuns((run) => run.ownerId === id),
       log: options.log,
     });
     this.crashReports = CrashReports.create({
@@ -240,7 +240,7 @@
         attach: ({ entry, rules }, link) => this.attach(entry, rules, link),
         assign: (assignment, link) => this.assign(assignment, link),
         abandon: ({ jobs }) => {
-          this.stopRuns((run) => jobs.includes(run.task.job));
+          this.abandonRuns((run) => jobs.includes(run.task.job));
           return {};
         },
         renew: (_, link) => {
@@ -354,9 +354,9 @@
     return this.session?.find({ job, occurrence, step, index }) !== undefined;
   }
 
-  private stopRuns(isUnwanted: (run: Run) => boolean): number {
+  private abandonRuns(isUnwanted: (run: Run) => boolean): number {
     const runs = this.session?.select(isUnwanted) ?? [];
-    runs.forEach((run) => this.session?.stop(run));
+    runs.forEach((run) => this.session?.abandon(run));
     return runs.length;
   }
 
--- a/packages/gate/src/WorkerLease.ts
+++ b/packages/gate/src/WorkerLease.ts
@@ -16,6 +16,9 @@
   /** Monotonic time of the last request, in milliseconds. */
   private requestedAt = 0;
 
+  /** End of the last requested lease on the worker's clock, in milliseconds. */
+  private requestedEnd = 0;
+
   private constructor(private clock: number) {}
 
   /**
@@ -36,6 +39,16 @@
     return this.requestedAt;
   }
 
+  /** End of the lease that was requested last, on the worker's clock, in milliseconds. */
+  get end(): number {
+    return this.requestedEnd;
+  }
+
+  /** Time until the lease that was requested last ends, in milliseconds; negative once it has ended. */
+  get remainingMs(): number {
+    return this.requestedAt + LEASE_MS - performance.now();
+  }
+
   /**
    * Updates the estimate from a reading of the worker's clock. A reading behind the estimate is
    * ignored.
@@ -56,7 +69,8 @@
   extend(): number {
     this.requestedAt = performance.now();
     this.expiresAt = this.requestedAt + LEASE_MS * CLOCK_RATE_TOLERANCE + EXPIRY_MARGIN_MS;
-    return Math.floor(this.workerTime() + LEASE_MS);
+    this.requestedEnd = Math.floor(this.workerTime() + LEASE_MS);
+    return this.requestedEnd;
   }
 
   /**
--- a/packages/gate/src/WorkerSession.ts
+++ b/packages/gate/src/WorkerSession.ts
@@ -9,7 +9,7 @@
 } from '@marjorammast/protocol';
 import type { Resources, RunEnd, TaskId } from '@marjorammast/protocol';
 import type { Log } from '@marjorammast/telemetry';
-import { LONG_POLL_MS, RENEW_PERIOD_MS, RETRY_PAUSE_MS } from './constants';
+import { LONG_POLL_MS, MIN_START_LEASE_MS, RENEW_PERIOD_MS, RETRY_PAUSE_MS } from './constants';
 import { EndedRuns } from './EndedRuns';
 import { findStalledRuns } from './findStalledRuns';
 import { LostRuns } from './LostRuns';
@@ -158,9 +158,19 @@
     if (this.report.isLeaving) return 'worker leaving';
     if (this.contact.isSilent) return 'worker silent';
     if (!this.isReconciled) return 'runs unknown';
+    if (this.isLeaseWithheld && this.lease.remainingMs < MIN_START_LEASE_MS)
+      return 'run not stopped';
     return '';
   }
 
+  /**
+   * True while a run may be active whose end nobody waits for: another entry may soon start its task. The
+   * runs of a worker share their lease, so that each extension for another run would keep this one alive.
+   */
+  private get isLeaseWithheld(): boolean {
+    return !this.isReconciled || this.sentRuns.some(({ isWanted }) => !isWanted);
+  }
+
   /**
    * Resources that no run occupies; none when the capacity has shrunk below what the runs occupy, which
    * a worker that refuses starts may know before it reports it.
@@ -219,6 +229,17 @@
     return this.runs.get(taskKey(task));
   }
 
+  /**
+   * Stops a run for whose end nobody waits. Until the run has ended, the lease is not extended, so that
+   * it ends with the lease if the stop is not carried out.
+   *
+   * @param run - the run
+   */
+  abandon(run: Run): void {
+    run.isWanted = false;
+    this.stop(run);
+  }
+
   /**
    * Stops a run. It occupies its resources until the worker lists its end.
    *
@@ -301,7 +322,7 @@
       task,
       run: run.run,
       spec,
-      leaseUntil: this.lease.extend(),
+      leaseUntil: this.isLeaseWithheld ? this.lease.end : this.lease.extend(),
     });
     if (!this.isTracked(run)) return;
     match(answer)
@@ -402,6 +423,7 @@
     const renewedAt = Math.min(this.lease.extendedAt, this.listedAt);
     const remainingMs = Math.ceil(renewedAt + RENEW_PERIOD_MS - performance.now());
     if (remainingMs <= 0) void this.listRuns(0);
+    if (this.isLeaseWithheld) this.host.onChanged();
     this.scheduleRenewal(remainingMs > 0 ? remainingMs : RENEW_PERIOD_MS);
   }
 
@@ -410,7 +432,8 @@
    * lease, so there is no other one until it is answered: the lease of an unresponsive worker expires.
    */
   private async listRuns(waitMs: number): Promise<RunList | undefined> {
-    const isRenewal = this.runs.size > 0 && this.contact.isAnswering && !this.isRenewing;
+    const isRenewal =
+      this.runs.size > 0 && this.contact.isAnswering && !this.isRenewing && !this.isLeaseWithheld;
     const leaseUntil = isRenewal ? this.lease.extend() : undefined;
     if (waitMs === 0 && isRenewal) this.isRenewing = true;
     const command = { ...this.commandBase, lastEnd: this.lastEndNumber, leaseUntil, waitMs };
--- a/packages/gate/src/constants.ts
+++ b/packages/gate/src/constants.ts
@@ -1,6 +1,9 @@
 /** Length of the lease that every start and renewal requests from the worker, in milliseconds. */
 export const LEASE_MS = 600;
 
+/** Shortest remaining lease with which a run is started while the lease is not extended, in milliseconds. */
+export const MIN_START_LEASE_MS = LEASE_MS / 2;
+
 /** Time between two lease renewals while the worker has runs, in milliseconds. */
 export const RENEW_PERIOD_MS = 150;
 
--- a/packages/gate/src/createRun.ts
+++ b/packages/gate/src/createRun.ts
@@ -40,5 +40,6 @@
     wasListed: false,
     isSuspect,
     hasFailedElsewhere,
+    isWanted: true,
   };
 };
--- a/packages/gate/src/run.ts
+++ b/packages/gate/src/run.ts
@@ -33,6 +33,8 @@
   isSuspect: boolean;
   /** Another run of the task has failed or stalled on another worker. */
   hasFailedElsewhere: boolean;
+  /** False once its entry has abandoned the run or is lost: nobody waits for the end of the run. */
+  isWanted: boolean;
   /** Monotonic time from which the run is to be stopped, in milliseconds. */
   stopWantedAt?: number;
 };
--- a/packages/gate/tests/SlownessEstimate.test.ts
+++ b/packages/gate/tests/SlownessEstimate.test.ts
@@ -19,6 +19,7 @@
   isSuspect: false,
   hasFailedElsewhere: false,
   wasStarted: true,
+  isWanted: true,
 });
 
 const jobs = ['a', 'b', 'c', 'd'];
--- a/packages/gate/tests/WorkerSession.test.ts
+++ b/packages/gate/tests/WorkerSession.test.ts
@@ -56,6 +56,7 @@
   isSuspect: false,
   hasFailedElsewhere: false,
   wasStarted: false,
+  isWanted: true,
 });
 
 /** Opens a session with a worker whose answers the test sets and whose commands it can inspect. */
@@ -264,6 +265,34 @@
     fixture.session.end();
   });
 
+  // Guards against two runs of a task at once: its entry was killed, the worker did not carry out the stop,
+  // and renewals and starts for other runs kept the first run alive until its client sent the job again.
+  it('does not extend the lease while a run that nobody waits for may be active', async () => {
+    const fixture = createFixture();
+    await advance(20);
+    const runs = [createRun(0), createRun(1)];
+    runs.forEach((run) => fixture.session.startRun(run, ''));
+    fixture.running = runs.map(({ task }) => ({ task, run: 1, percent: 1 }));
+    await advance(50);
+    fixture.stopAnswer = noAnswer;
+    const ends = () =>
+      [...fixture.holds, ...fixture.starts].map(({ leaseUntil }) => leaseUntil ?? 0);
+    const endBefore = Math.max(...ends());
+    fixture.session.abandon(runs[0] as Run);
+    await advance(100);
+    fixture.session.startRun(createRun(2), '');
+    expect(fixture.session.unavailableReason).toBe('');
+    await advance(250);
+    expect(fixture.session.unavailableReason).toBe('run not stopped');
+    expect(Math.max(...ends())).toBe(endBefore);
+    fixture.running = [];
+    fixture.ended = [{ number: 1, task: createRun(0).task, run: 1, how: 'stopped' }];
+    await advance(200);
+    expect(fixture.session.unavailableReason).toBe('');
+    expect(Math.max(...ends())).toBeGreaterThan(endBefore);
+    fixture.session.end();
+  });
+
   it('reports only listed runs as lapsed when the session ends, and passes on the others', async () => {
     const fixture = createFixture();
     await advance(20);
--- a/packages/gate/tests/findStalledRuns.test.ts
+++ b/packages/gate/tests/findStalledRuns.test.ts
@@ -21,6 +21,7 @@
   isSuspect: false,
   hasFailedElsewhere: false,
   wasStarted: true,
+  isWanted: true,
 });
 
 describe('findStalledRuns', () => {
