--- a/jest.config.mjs
+++ b/jest.config.mjs
@@ -4,6 +4,7 @@
     '<rootDir>/packages/**/*.test.ts',
     '<rootDir>/platform/**/*.test.ts',
     '<rootDir>/marjorammast-app/**/*.test.ts',
+    '<rootDir>/scripts/**/*.test.ts',
   ],
   transform: {
     '^.+\\.(t|j|m)s$': [
