--- a/packages/proofs/tests/capacityChanges.test.ts
+++ b/packages/proofs/tests/capacityChanges.test.ts
@@ -51,3 +51,39 @@
     expect(simulation.runs.filter(({ how }) => how !== 'done')).toEqual([]);
   });
 });
+
+describe('a quarter of the workers that shrink to 0.55 of their capacity', () => {
+  beforeEach(() => {
+    jest.useFakeTimers({ now: 1_800_000_000_000 });
+  });
+
+  afterEach(() => {
+    jest.useRealTimers();
+  });
+
+  // The load: 20 jobs a second, and 1.4 times as many for a second and a half of the shrinkage.
+  it('end each run once while more jobs come', async () => {
+    const shrunkWorkers = [0, 1];
+    const faults = shrunkWorkers.map((node): PlannedDispatchFault => ({
+      ...shrink,
+      atMs: 1_000,
+      forMs: 2_500,
+      node,
+      shrinkFactor: 0.55,
+    }));
+    const usualJobs = Array.from({ length: 78 }, (_, index) => createJob(index * 50, 400));
+    const furtherJobs = Array.from({ length: 12 }, (_, index) =>
+      createJob(1_500 + index * 125, 400),
+    );
+    const jobs = [...usualJobs, ...furtherJobs].map((job, index) => ({ ...job, entry: index % 2 }));
+    const simulation = await runDispatchSchedule({ seed: 5, faults, jobs }, 8);
+    expect(checkDispatchGuarantees(simulation)).toEqual([]);
+    const outcomes = simulation.answers.map(({ outcome }) => outcome.type);
+    expect(outcomes).toEqual(jobs.map(() => 'completed'));
+    expect(simulation.runs).toHaveLength(jobs.length * 2);
+    expect(simulation.runs.filter(({ how }) => how !== 'done')).toEqual([]);
+    shrunkWorkers.forEach((node) => {
+      expect(simulation.runs.some(({ worker }) => worker === `worker-${node}`)).toBe(true);
+    });
+  });
+});
--- a/packages/proofs/tests/support/dispatchSchedule.ts
+++ b/packages/proofs/tests/support/dispatchSchedule.ts
@@ -24,7 +24,7 @@
     | 'reborn'
     /** The worker reports that it leaves, and restarts at the end of the fault. */
     | 'leaves'
-    /** The capacity of the worker shrinks to a third, and it reports so at once. */
+    /** The capacity of the worker shrinks, and it reports so at once. */
     | 'shrink'
     /** The same, but the agent learns of it from the next report; the worker refuses what exceeds it. */
     | 'shrinkUnseen'
@@ -38,6 +38,8 @@
   node: number;
   /** Index of the entry. */
   other: number;
+  /** Factor by which the capacity of the worker shrinks; a third if absent. */
+  shrinkFactor?: number;
 };
 
 /** One job of a schedule. */
@@ -88,6 +90,9 @@
 /** Longest wait for clients after the schedule, in milliseconds. */
 const ANSWERS_TIMEOUT_MS = 13_000;
 
+/** Factor by which the capacity of a worker shrinks unless a fault has another. */
+const SHRINK_FACTOR = 1 / 3;
+
 /** Step by which the fake time advances, in milliseconds. */
 const STEP_MS = 10;
 
@@ -182,7 +187,7 @@
 /** Begins a fault if `isOn` is true, and ends it otherwise. */
 const applyFault = (
   simulation: DispatchSimulation,
-  { type, node, other }: PlannedDispatchFault,
+  { type, node, other, shrinkFactor = SHRINK_FACTOR }: PlannedDispatchFault,
   isOn: boolean,
 ): void => {
   const entry = `entry-${other}`;
@@ -219,13 +224,13 @@
       else worker?.restart();
     },
     shrink: () => {
-      worker?.scaleCapacity(isOn ? 1 / 3 : 3);
+      worker?.scaleCapacity(isOn ? shrinkFactor : 1 / shrinkFactor);
       simulation.reportNow(node);
     },
     shrinkUnseen: () => {
       if (!worker) return;
       worker.rejectsOverload = true;
-      worker.scaleCapacity(isOn ? 1 / 3 : 3);
+      worker.scaleCapacity(isOn ? shrinkFactor : 1 / shrinkFactor);
     },
     takeOut: () => simulation.takeOut(isOn ? [dataCenter] : []),
   };
--- a/packages/proofs/tests/workerCrashes.test.ts
+++ b/packages/proofs/tests/workerCrashes.test.ts
@@ -150,4 +150,31 @@
     expect(completed.length / lookups.length).toBeGreaterThanOrEqual(0.9);
     expect(new Set(outcomes)).not.toContain('failed');
   });
+
+  // The load: every tenth job of one route has such a task, and the entry that accepts them is killed.
+  it('leave room for other jobs while their entry is killed', async () => {
+    const crashingJobs = 10;
+    const claims = Array.from({ length: 10 * crashingJobs }, (_, index) =>
+      createJob({
+        atMs: index * 40,
+        crashingTask: index % 10 === 0 ? 0 : undefined,
+        sendsAgain: true,
+      }),
+    );
+    const lookups = Array.from({ length: 80 }, (_, index) =>
+      createJob({ atMs: index * 50, entry: 1, route: 'lookups', tasks: 2, runMs: 300 }),
+    );
+    const schedule = { seed: 3, faults: [killEntryAt(2_000)], jobs: [...claims, ...lookups] };
+    const simulation = await runDispatchSchedule(schedule, 12);
+    expect(checkDispatchGuarantees(simulation)).toEqual([]);
+    const crashed = simulation.runs.filter(({ how }) => how === 'crashed');
+    const crashes = crashed.map(({ task }) => countCrashes(simulation, task));
+    expect(Math.max(...crashes)).toBeLessThanOrEqual(3);
+    const outcomes = simulation.answers
+      .filter(({ job }) => job.route === 'lookups')
+      .map(({ outcome }) => outcome.type);
+    const completed = outcomes.filter((type) => type === 'completed');
+    expect(completed.length / lookups.length).toBeGreaterThanOrEqual(0.9);
+    expect(new Set(outcomes)).not.toContain('failed');
+  });
 });
