--- a/packages/proofs/tests/capacityChanges.test.ts
+++ b/packages/proofs/tests/capacityChanges.test.ts
@@ -66,16 +66,22 @@
     const shrunkWorkers = [0, 1];
     const faults = shrunkWorkers.map((node): PlannedDispatchFault => ({
       ...shrink,
-      atMs: 1_000,
+      atMs: 1_020,
       forMs: 2_500,
       node,
       shrinkFactor: 0.55,
     }));
-    const usualJobs = Array.from({ length: 78 }, (_, index) => createJob(index * 50, 400));
+    const usualJobs = Array.from({ length: 78 }, (_, index) =>
+      createJob(index * 50, 250 + (index % 7) * 50),
+    );
     const furtherJobs = Array.from({ length: 12 }, (_, index) =>
-      createJob(1_500 + index * 125, 400),
+      createJob(1_500 + index * 125, 150),
     );
-    const jobs = [...usualJobs, ...furtherJobs].map((job, index) => ({ ...job, entry: index % 2 }));
+    const jobs = [...usualJobs, ...furtherJobs].map((job, index) => ({
+      ...job,
+      cpu: 1_000,
+      entry: index % 2,
+    }));
     const simulation = await runDispatchSchedule({ seed: 5, faults, jobs }, 8);
     expect(checkDispatchGuarantees(simulation)).toEqual([]);
     const outcomes = simulation.answers.map(({ outcome }) => outcome.type);
