--- a/packages/protocol/tests/support/oddValues.ts
+++ b/packages/protocol/tests/support/oddValues.ts
@@ -5,7 +5,7 @@
 export const DEEP_JSON = '['.repeat(DEPTH) + ']'.repeat(DEPTH);
 
 /** The same value as an object under one key, as JSON. */
-export const DEEP_OBJECT_JSON = '{"a":'.repeat(DEPTH) + '1' + '}'.repeat(DEPTH);
+export const DEEP_OBJECT_JSON = `${'{"a":'.repeat(DEPTH)}1${'}'.repeat(DEPTH)}`;
 
 /** Values that another writer may leave where a whole number is expected, as JSON, with a name each. */
 export const ODD_NUMBERS: readonly (readonly [string, string])[] = [
