--- a/marjorammast-app/src/dispatchEntry.ts
+++ b/marjorammast-app/src/dispatchEntry.ts
@@ -46,7 +46,7 @@
   metrics.gauge('marjorammast_runs', 'Runs not ended', () => entry.dispatcher.outstandingRuns);
   metrics.gauge('marjorammast_agents', 'Agents attached', () => entry.attachedAgents);
   metrics.gauge('marjorammast_open_workers', 'Workers that take work', () => entry.openWorkers);
-  const platformStore = createPlatformStore(store);
+  const platformStore = createPlatformStore(store, log);
   const decodeOperatorState = createOperatorStateDecoder(log);
   const decodeRegistrations = createRegistrationDecoder((key) =>
     log.warn({ key }, 'malformed_registration'),
--- a/marjorammast-app/src/gateAgent.ts
+++ b/marjorammast-app/src/gateAgent.ts
@@ -45,7 +45,7 @@
   await serveMetrics(metrics, settings.metrics);
   log.info({ rpc, worker, dataCenter, pid: process.pid }, 'started');
   void registerProcess(
-    createPlatformStore(settings.store),
+    createPlatformStore(settings.store, log),
     'agents',
     { name, address: settings.advertisedRpc ?? rpc, dataCenter },
     log,
