Odd reports and deregistrations of a worker are refused, whole and with a bounded number of lines

Operators would have seen: a worker that gets no tasks any more after one report with seq_num 1e300 or a born beyond all others, since each later report looked older; and a call that hangs for ever after a report of more than 64 KiB. Cause: seq_num had no bounds; fields that nobody read were not checked; the rest of a body that is too long was not read. Ruled out: deep nesting within 64 KiB (JSON.parse does not recurse, a test shows it), 1e400, null and text as numbers. Change: whole safe numbers for born and seq_num, bounds for clock and capacity, types of the other fields. The address of a report is decoded (host and a port of 1 to 65535) into the optional WorkerReport.address, the optional born of a deregistration is passed on as second argument. The agent's code is untouched: serveWorkerApi takes what it needs as a type. A body that is too long is read to its end and refused. Conclusion: fixed in the decoder. A wrong but possible born or seq_num (2^53 - 1) still passes; only the agent can judge it.

--- a/packages/gate/src/WorkerClient.ts
+++ b/packages/gate/src/WorkerClient.ts
@@ -16,6 +16,8 @@
   clock: number;
   /** Increases with each report of one incarnation. */
   sequence: number;
+  /** Host and port at which the worker accepts commands, if the report names it. */
+  address?: string;
 };
 
 /** Identifies one incarnation of a worker, that is, the time from one start of it to the next. */
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,3 +1,4 @@
+export * from './addressSchema';
 export * from './clusterMap';
 export * from './constants';
 export * from './createId';
