A registration with a port out of range, or without a name, is skipped

Operators would have seen: entries that try an address again and again to which nobody can connect. Cause: the schema took any port of up to five digits; the name was not checked. Ruled out: an end of the process; connect throws within the promise of dial, which rejects, and both callers catch it. Change: addressSchema checks the port; an empty name is invalid. Conclusion: fixed.

--- a/packages/protocol/src/registration.ts
+++ b/packages/protocol/src/registration.ts
@@ -1,13 +1,17 @@
 import * as z from 'zod';
+import { addressSchema } from './addressSchema';
 
 /** Roles under which processes register in the store for service discovery. */
 export type ProcessRole = 'agents' | 'entries';
 
 const KEY_PREFIX = 'marjorammast/';
 
+/** Processes register with the IP address of their host. */
+const HOST_PATTERN = /^[0-9a-fA-F.:]+$/;
+
 const registrationSchema = z.object({
   /** RPC address, host and port. */
-  address: z.string().regex(/^[0-9a-fA-F.:]+:\d{1,5}$/),
+  address: addressSchema.regex(HOST_PATTERN),
   dataCenter: z.string().min(1),
 });
 
@@ -53,8 +57,9 @@
   const decode = (prefix: string, { key, value, revision }: RegistrationItem) => {
     const known = decoded.get(key);
     if (known?.revision === revision) return known.registered;
-    const registration = decodeRegistration(value);
-    const registered = registration && { name: key.slice(prefix.length), ...registration };
+    const name = key.slice(prefix.length);
+    const registration = name === '' ? undefined : decodeRegistration(value);
+    const registered = registration && { name, ...registration };
     if (!registered) onInvalid(key);
     decoded.set(key, { revision, registered });
     return registered;
--- a/packages/protocol/tests/registration.test.ts
+++ b/packages/protocol/tests/registration.test.ts
@@ -1,4 +1,5 @@
 import * as fc from 'fast-check';
+import { ODD_ADDRESSES } from './support/oddValues';
 import {
   createRegistrationDecoder,
   encodeRegistration,
@@ -66,4 +67,17 @@
     decode('agents', items);
     expect(invalid).toEqual([key]);
   });
+
+  it.each(ODD_ADDRESSES)('skips a registration whose address has %s', (_, odd) => {
+    const invalid: string[] = [];
+    const decode = createRegistrationDecoder((key) => invalid.push(key));
+    const key = registrationKey('agents', 'odd');
+    const items = [
+      { key, value: `{"address":${odd},"dataCenter":"north"}`, revision: 1 },
+      { ...toItem('', 1, 3), key: registrationKey('agents', '') },
+      toItem('good', 1, 2),
+    ];
+    expect(decode('agents', items)).toEqual([registered('good', 1)]);
+    expect(invalid).toHaveLength(2);
+  });
 });
