One odd row among ended runs or crash reports is skipped, and a line of null closes its link

Callers would have seen: jobs that wait for runs whose ends were in the same message as one odd row; entries that cannot attach to an agent for as long as it remembers one odd crash report; a link that is open but reads nothing any more after a line that says null. Cause: a message was valid or invalid as a whole, its fault's text grew with each odd row, and a stream of objects ends at null. Ruled out: a line that cannot be parsed, and deep nesting: the link closes and a new one works, or goes on (tests show both). Ports out of range: dial rejects. Change: parseReport skips odd rows of ended, crash and the answer to attach, and reports them as one fault. Orders (assign) stay refused as a whole. Closing the link at an unreadable line is right: what was lost may have been an end, and only a new attach sets it right.

--- a/packages/protocol/src/Link.ts
+++ b/packages/protocol/src/Link.ts
@@ -1,6 +1,8 @@
 import { JSONRPCClient, JSONRPCServer, JSONRPCServerAndClient } from 'json-rpc-2.0';
+import type * as z from 'zod';
 import { CALL_TIMEOUT_MS } from './constants';
 import { callSchemas } from './messages';
+import { parseReport, reasonOf } from './parseReport';
 import { setIoTimeout } from './setIoTimeout';
 import type { Method, Params, Result } from './messages';
 
@@ -62,8 +64,16 @@
   onFault: (fault: LinkFault) => void;
 };
 
-const reasonOf = (error: unknown): string =>
-  error instanceof Error ? error.message : String(error);
+/** Calls that report what has happened. An order with an odd row is refused as a whole. */
+const REPORTS: ReadonlySet<Method> = new Set<Method>(['ended', 'crash', 'attach']);
+
+const parse = (
+  method: Method,
+  schema: z.ZodType,
+  message: unknown,
+  onOddRows: (reason: string) => void,
+): unknown =>
+  REPORTS.has(method) ? parseReport(schema, message, onOddRows) : schema.parse(message);
 
 /**
  * Creates a call server, which all links of a process share.
@@ -83,10 +93,13 @@
     const { params: schema } = callSchemas[method];
     rpc.addMethod(method, async (params, link) => {
       try {
-        return await handler(schema.parse(params), link);
+        const report = (reason: string) => onFault({ peer: link.name, method, reason });
+        return await handler(parse(method, schema, params, report), link);
       } catch (error) {
-        onFault({ peer: link.name, method, reason: reasonOf(error) });
-        throw error;
+        const reason = reasonOf(error);
+        onFault({ peer: link.name, method, reason });
+        // The answer carries this text too.
+        throw new Error(reason);
       }
     });
   });
@@ -151,7 +164,9 @@
     });
     try {
       const result = await Promise.race([this.rpc.request(method, params), timeout]);
-      return callSchemas[method].result.parse(result) as Result<M>;
+      const { result: schema } = callSchemas[method];
+      const report = (reason: string) => this.server.onFault({ peer: this.name, method, reason });
+      return parse(method, schema, result, report) as Result<M>;
     } catch (error) {
       throw this.toCallError(error);
     } finally {
--- a/packages/protocol/src/tcp.ts
+++ b/packages/protocol/src/tcp.ts
@@ -29,6 +29,13 @@
   process.nextTick(() => socket.uncork());
 };
 
+/** Parses one line. The stream of messages would end at `null`, and the link would stay open but deaf. */
+const parseLine = (line: string): unknown => {
+  const message: unknown = JSON.parse(line);
+  if (message === null) throw new Error('not a message: null');
+  return message;
+};
+
 const createLink = (
   name: string,
   socket: Socket,
@@ -57,7 +64,7 @@
   socket.on('data', (chunk: Buffer) => {
     traffic.receivedBytes += chunk.length;
   });
-  const lines = socket.pipe(split2(JSON.parse, { maxLength: MAX_MESSAGE_BYTES }));
+  const lines = socket.pipe(split2(parseLine, { maxLength: MAX_MESSAGE_BYTES }));
   lines.on('data', (message) => link.receive(message));
   lines.on('error', (error) => {
     link.reportFault(error);
