A job whose client has left before it is accepted is given up

Cause: a signal that is aborted before the listener is added never fires again, so that such a job ran until its deadline, beside the copy that its client sends to another entry. Change: the signal is looked at once after the listener is added. Before: submit.test.ts fails (no outcome); after: passes.

--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -377,6 +377,7 @@
       if (active.waiters === 0) job.settle({ type: 'unfinished', reason: 'client left' });
     };
     signal.addEventListener('abort', onDisconnect, { once: true });
+    if (signal.aborted) onDisconnect();
     const outcome = await job.waitForOutcome();
     signal.removeEventListener('abort', onDisconnect);
     return outcome;
