--- a/packages/gate/src/WorkerClient.ts
+++ b/packages/gate/src/WorkerClient.ts
@@ -35,7 +35,14 @@
 };
 
 /** The runs in progress on a worker and those that have ended since the last acknowledged end. */
-export type RunList = { born: number; clock: number; running: ListedRun[]; ended: ListedEnd[] };
+export type RunList = {
+  born: number;
+  clock: number;
+  running: ListedRun[];
+  ended: ListedEnd[];
+  /** True when `running` lacks rows that could not be read. */
+  hasUnreadableRows?: boolean;
+};
 
 /** Why a worker did not carry out a command. */
 export type CommandRefusal =
--- a/packages/gate/src/WorkerSession.ts
+++ b/packages/gate/src/WorkerSession.ts
@@ -317,6 +317,9 @@
     this.track(run);
     run.unansweredAt ??= performance.now();
     this.inheritedRuns.add(run);
+    // Its entry may be gone, and an answer of the previous incarnation says nothing of this one.
+    run.isWanted = false;
+    run.wasStarted = false;
     this.host.log.info({ task: taskKey(run.task), run: run.run }, 'run_inherited');
     void this.stopUntilConfirmed(run);
   }
@@ -411,7 +414,7 @@
   private endFencedRuns(list: RunList, token: number): void {
     this.sentRuns
       .filter((run) => !run.wasStarted && run.unansweredAt !== undefined)
-      .filter((run) => run.startToken < token && !this.isInList(run, list))
+      .filter((run) => run.startToken < token && this.isAbsent(run, list))
       .forEach((run) => this.removeRun(run, 'notRun', 'fenced'));
   }
 
@@ -434,7 +437,7 @@
       // does so when it has stopped or ended a run of the task with this number or a higher one.
       const cannotStart =
         stopped.type === 'accepted' || (stopped.type === 'refused' && stopped.reason === 'lowRun');
-      if (cannotStart && listed && !this.isInList(run, listed)) {
+      if (cannotStart && listed && this.isAbsent(run, listed)) {
         this.removeRun(run, 'notRun', 'stopConfirmed');
         return;
       }
@@ -442,10 +445,12 @@
     }
   }
 
-  private isInList(run: Run, list: RunList): boolean {
-    return list.running.some(
+  /** True when the list shows that the run is not active. A list with an unreadable row shows nothing. */
+  private isAbsent(run: Run, { running, hasUnreadableRows }: RunList): boolean {
+    const isListed = running.some(
       (row) => taskKey(row.task) === taskKey(run.task) && row.run === run.run,
     );
+    return !isListed && !hasUnreadableRows;
   }
 
   private isTracked(run: Run): boolean {
@@ -559,6 +564,7 @@
   }
 
   private handleCommandAnswer(command: string, answer: CommandResult): void {
+    if (this.hasEnded) return;
     match(answer)
       .with({ type: 'accepted' }, ({ clock }) => this.recordContact(clock))
       .with({ type: 'refused' }, ({ reason, clock }) => {
--- a/packages/gate/tests/WorkerSession.test.ts
+++ b/packages/gate/tests/WorkerSession.test.ts
@@ -75,12 +75,19 @@
     born: BORN,
     isRefusing: false,
     isHoldUnanswered: false,
+    hasUnreadableRows: false,
     mayStart: true,
   };
   const refused = { ...noAnswer, wasRefused: true };
   const list = (): HoldResult => ({
     type: 'list',
-    list: { born: fixture.born, clock: CLOCK, running: fixture.running, ended: fixture.ended },
+    list: {
+      born: fixture.born,
+      clock: CLOCK,
+      running: fixture.running,
+      ended: fixture.ended,
+      hasUnreadableRows: fixture.hasUnreadableRows,
+    },
   });
   const answerLater = <T>(answer: () => T): Promise<T> =>
     new Promise((resolve) => {
@@ -152,6 +159,44 @@
     fixture.session.end();
   });
 
+  it('takes no start for fenced by a list with a row that cannot be read', async () => {
+    const fixture = createFixture();
+    await advance(20);
+    fixture.startAnswer = noAnswer;
+    fixture.hasUnreadableRows = true;
+    fixture.session.startRun(createRun(0), '');
+    await advance(100);
+    expect(fixture.ends).toEqual([]);
+    fixture.hasUnreadableRows = false;
+    await advance(100);
+    expect(fixture.ends).toEqual(['notRun']);
+    fixture.session.end();
+  });
+
+  // Guards against two runs of a task at once: the entry of an inherited run may be gone since.
+  it('does not extend the lease while an inherited run may be active', async () => {
+    const fixture = createFixture({ token: 9_000, unconfirmed: [createRun(1)] });
+    fixture.stopAnswer = noAnswer;
+    fixture.running = [{ task: createRun(1).task, run: 1, percent: 1 }];
+    await advance(500);
+    expect(fixture.session.unavailableReason).toBe('run not stopped');
+    expect(fixture.holds.filter(({ leaseUntil }) => leaseUntil !== undefined)).toEqual([]);
+    fixture.session.end();
+  });
+
+  // Guards against runs that are taken for ended by an answer to a command of the previous session.
+  it('replaces no session by an answer that comes after its own end', async () => {
+    const fixture = createFixture();
+    await advance(20);
+    fixture.session.startRun(createRun(0), '');
+    await advance(5);
+    fixture.stopAnswer = { type: 'refused', reason: 'otherLife' };
+    fixture.session.abandon(fixture.session.find(createRun(0).task) as Run);
+    fixture.session.end();
+    await advance(50);
+    expect(fixture.host.onReplaced).not.toHaveBeenCalled();
+  });
+
   it('lets an unanswered start run on when a later list shows it', async () => {
     const fixture = createFixture();
     await advance(20);
