--- a/packages/gate/src/WorkerContact.ts
+++ b/packages/gate/src/WorkerContact.ts
@@ -26,8 +26,8 @@
   }
 
   /**
-   * True when the worker is silent and nothing accepts connections at its address, which shows that its
-   * process has ended.
+   * True when the worker is silent and nothing accepts connections at its address. It counts as crashed then,
+   * although a living worker may refuse connections too.
    */
   get isGone(): boolean {
     return this.isSilent && this.wasRefused;
