--- a/review/support/Deployment.mjs
+++ b/review/support/Deployment.mjs
@@ -2,6 +2,7 @@
 import { spawn } from 'node:child_process';
 import { mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { request as sendRequest } from 'node:http';
+import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { StoreStandIn } from './StoreStandIn.mjs';
@@ -10,10 +11,8 @@
 /** Root of the repository, where the platform starts the programs. */
 const ROOT = new URL('../../', import.meta.url).pathname;
 
-/** Ports as the platform assigns them: the same on all machines, each of which has its own address. */
-const PORTS = { frontend: 8161, control: 8166, readiness: 8167, internal: 7720, app: 8080 };
-
-const STORE_PORT = 8169;
+/** Ports that a deployment needs, as the platform assigns them: the same on all machines. */
+const PORT_NAMES = ['frontend', 'control', 'readiness', 'internal', 'app', 'store'];
 
 const READY_TIMEOUT_MS = 30_000;
 
@@ -26,6 +25,32 @@
     setTimeout(resolve, ms);
   });
 
+/** Finds free ports, one for each name. */
+const findPorts = async (names) => {
+  const servers = names.map(() => createServer());
+  await Promise.all(
+    servers.map(
+      (server) =>
+        new Promise((resolve, reject) => {
+          server.once('error', reject);
+          server.listen(0, '127.0.0.1', resolve);
+        }),
+    ),
+  );
+  const ports = Object.fromEntries(
+    names.map((name, index) => [name, servers[index].address().port]),
+  );
+  await Promise.all(
+    servers.map(
+      (server) =>
+        new Promise((resolve) => {
+          server.close(resolve);
+        }),
+    ),
+  );
+  return ports;
+};
+
 /** Returns the command of a role in the deploy file. */
 const readCommand = (role) => {
   const text = readFileSync(join(ROOT, 'deploy/system.toml'), 'utf8');
@@ -99,12 +124,13 @@
   }
 
   get storeAddress() {
-    return `${this.network}.250:${STORE_PORT}`;
+    return `${this.network}.250:${this.ports.store}`;
   }
 
   /** Starts all and waits until the entries take clients and have workers. */
   async start(configuration) {
     const { entryCount, workerCount, zones, cpu, runMs } = this.options;
+    this.ports = await findPorts(PORT_NAMES);
     const [host, port] = this.storeAddress.split(':');
     this.configure(configuration);
     await this.store.listen(host, Number(port));
@@ -117,8 +143,8 @@
         zone,
         cpu,
         labels: ['a', `r-${index}`],
-        address: `${ip}:${PORTS.app}`,
-        control: `${ip}:${PORTS.control}`,
+        address: `${ip}:${this.ports.app}`,
+        control: `${ip}:${this.ports.control}`,
         heartbeatMs: 1_500,
         runMs,
         record: (what, fields) => this.record(what, fields),
@@ -152,12 +178,12 @@
       node_name: name,
       ip,
       zone,
-      app: `${ip}:${PORTS.app}`,
-      internal_ports: [PORTS.internal, PORTS.internal + 15],
+      app: `${ip}:${this.ports.app}`,
+      internal_ports: [this.ports.internal, this.ports.internal + 15],
       listen_addrs: {
-        frontend: `${ip}:${PORTS.frontend}`,
-        readiness: `${ip}:${PORTS.readiness}`,
-        control: `${ip}:${PORTS.control}`,
+        frontend: `${ip}:${this.ports.frontend}`,
+        readiness: `${ip}:${this.ports.readiness}`,
+        control: `${ip}:${this.ports.control}`,
       },
       platform: { address: storeAddressOf(name, this.storeAddress) },
       bounds,
@@ -185,7 +211,7 @@
 
   /** Returns the status of an entry's readiness endpoint, or 0 without an answer. */
   async fetchReadiness(entry, patienceMs) {
-    const address = `${entry.ip}:${PORTS.readiness}`;
+    const address = `${entry.ip}:${this.ports.readiness}`;
     try {
       return (await this.call(address, 'GET', '/api/ready', { patienceMs })).status;
     } catch {
@@ -249,7 +275,7 @@
 
   /** Sends a client's request to an entry and records it with its answer. */
   async request(entry, method, path, options = {}) {
-    const address = `${entry.ip}:${PORTS.frontend}`;
+    const address = `${entry.ip}:${this.ports.frontend}`;
     this.record('sent', { method, path, entry: entry.name });
     try {
       const answer = await this.call(address, method, path, options);
