Review: an error of a case gives exit code 2, not 1

Node.js exits with 1 after an error, which run.sh took for a broken rule. The limit of a case is lower, so that no run can pass 120 s.

--- a/review/support/Balancer.mjs
+++ b/review/support/Balancer.mjs
@@ -32,10 +32,10 @@
     return (this.misses.get(entry.name) ?? 0) < MAX_MISSES;
   }
 
-  /** Chooses the entry for a client with this hash: the first in rotation, from the one of the hash on. */
-  choose(hash) {
+  /** Chooses the entry for a client of a zone, each of which has one entry: its own, or else the next in rotation. */
+  choose(zone) {
     const { entries } = this.deployment;
-    const ordered = entries.map((_, index) => entries[(hash + index) % entries.length]);
+    const ordered = entries.map((_, index) => entries[(zone + index) % entries.length]);
     return ordered.find((entry) => this.isInRotation(entry)) ?? ordered[0];
   }
 
--- a/review/support/runCase.mjs
+++ b/review/support/runCase.mjs
@@ -2,7 +2,10 @@
 import { Deployment } from './Deployment.mjs';
 
 /** Longest time of a case, in milliseconds. */
-const CASE_TIMEOUT_MS = 100_000;
+const CASE_TIMEOUT_MS = 75_000;
+
+/** Exit code for a broken rule. Node.js itself exits with 1 after an error, so `run.sh` translates this one. */
+const EXIT_BROKEN = 3;
 
 /** False when the case runs without its disruption. */
 export const HAS_TROUBLE = process.env.TROUBLE !== '0';
@@ -15,7 +18,7 @@
   });
 
 /**
- * Runs a case on a deployment of its own and sets the exit code: 1 if the rule was broken, 0 if it held, 2
+ * Runs a case on a deployment of its own and sets the exit code: 3 if the rule was broken, 0 if it held, 2
  * if the case could not run. The lines of the record are written to `record.txt` in the folder of the case.
  *
  * @param folder - `import.meta.url` of the case
@@ -51,7 +54,7 @@
       print(text);
     });
     print(breaches.length > 0 ? `broken ${breaches.length} times` : 'held');
-    process.exitCode = breaches.length > 0 ? 1 : 0;
+    process.exitCode = breaches.length > 0 ? EXIT_BROKEN : 0;
   } catch (error) {
     deployment.record('not run', { detail: error.message });
     print(`could not run: ${error.stack}`);
