--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -61,6 +61,9 @@
 
 const MAX_TASKS_PER_STEP = 1_000;
 
+/** Reason of the outcome of a job that has no waiting client any more. */
+const CLIENT_LEFT = 'client left';
+
 /** An entry: accepts jobs from clients and answers each when its tasks have ended. */
 export class DispatchEntry {
   readonly dispatcher: Dispatcher;
@@ -367,6 +370,7 @@
     remainingMs,
     signal,
   }: Submission): Promise<JobOutcome> {
+    if (signal.aborted) return { type: 'unfinished', reason: CLIENT_LEFT };
     const active = this.jobs.get(request.id) ?? this.accept(request, route, remainingMs);
     // A job without tasks is complete at once.
     if (!active) return { type: 'completed' };
@@ -374,10 +378,9 @@
     const { job } = active;
     const onDisconnect = () => {
       active.waiters -= 1;
-      if (active.waiters === 0) job.settle({ type: 'unfinished', reason: 'client left' });
+      if (active.waiters === 0) job.settle({ type: 'unfinished', reason: CLIENT_LEFT });
     };
     signal.addEventListener('abort', onDisconnect, { once: true });
-    if (signal.aborted) onDisconnect();
     const outcome = await job.waitForOutcome();
     signal.removeEventListener('abort', onDisconnect);
     return outcome;
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -8,11 +8,13 @@
   DECLINE_PAUSE_MS,
   MAX_DISPATCH_PASS_INTERVAL_MS,
   MAX_LATENESS_FACTOR,
+  MAX_POLL_AGE_MS,
   RESERVED_TASKS,
   RUN_EXPIRY_MS,
 } from './constants';
 import type { CrashRecords } from './CrashRecords';
 import { createRoomFinder } from './createRoomFinder';
+import { createStopwatch } from './createStopwatch';
 import { findRefusal } from './findRefusal';
 import type { Refusal } from './findRefusal';
 import { groupWaitingTasks } from './groupWaitingTasks';
@@ -121,11 +123,13 @@
   schedulePass(): void {
     if (this.isPassScheduled) return;
     this.isPassScheduled = true;
+    const elapsed = createStopwatch();
     // Runs after the poll phase, so that a client that disconnected while the VM was paused is
     // noticed before its job is dispatched.
     setImmediate(() => {
-      this.isPassScheduled = false;
-      this.runPass();
+      // The VM was paused between the poll and now: another poll comes first.
+      if (this.isPollOutdated(elapsed())) setImmediate(() => this.beginPass());
+      else this.beginPass();
     });
   }
 
@@ -171,8 +175,21 @@
     this.queue.clear();
   }
 
+  private beginPass(): void {
+    this.isPassScheduled = false;
+    this.runPass();
+  }
+
+  /** Tells whether too much time has passed since the poll of the sockets to rely on it. */
+  private isPollOutdated(elapsedMs: number): boolean {
+    if (elapsedMs <= MAX_POLL_AGE_MS) return false;
+    this.host.log.warn({ elapsedMs: Math.round(elapsedMs) }, 'poll_outdated');
+    return true;
+  }
+
   private runPass(): void {
     clearTimeout(this.passTimer);
+    const elapsed = createStopwatch();
     const now = performance.now();
     if (this.queue.size === 0) {
       this.recordLoads(new Map(), now);
@@ -183,7 +200,10 @@
     const roomsOf = createRoomFinder((service) => this.findRooms(service, now), confinement);
     const jobs = sortWaitingJobs(this.queue, (route) => roomsOf(route).bestSlowness, now);
     const loads = new Map<QueueEstimate, PassLoad>();
+    let isInterrupted = false;
     jobs.forEach(({ job, isLate }) => {
+      isInterrupted ||= this.isPollOutdated(elapsed());
+      if (isInterrupted) return;
       const rooms = roomsOf(job.route);
       const estimate = this.estimateOf(job.route, isLate);
       const load = loads.get(estimate) ?? { placedWork: 0, waitingWork: 0, hasWorkers: false };
@@ -196,6 +216,7 @@
       if (job.isOpen) load.waitingWork += waitingWork;
     });
     this.recordLoads(loads, now);
+    if (isInterrupted) this.schedulePass();
     if (this.queue.size === 0) clearTimeout(this.passTimer);
   }
 
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -44,6 +44,12 @@
 /** Longest time between two dispatch passes while jobs with waiting tasks are queued, in milliseconds. */
 export const MAX_DISPATCH_PASS_INTERVAL_MS = 20;
 
+/**
+ * Longest time from the poll of the sockets to an assignment, in milliseconds. After a longer one the sockets
+ * are polled first, since clients may have left meanwhile.
+ */
+export const MAX_POLL_AGE_MS = 250;
+
 /** Window over which the rate at which queued work is placed is averaged, in milliseconds. */
 export const QUEUE_ESTIMATE_WINDOW_MS = 500;
 
--- a/packages/dispatch/tests/Dispatcher.test.ts
+++ b/packages/dispatch/tests/Dispatcher.test.ts
@@ -4,7 +4,7 @@
 import type { AgentConnection, Assignment } from '../src/AgentConnection';
 import { CrashRecords } from '../src/CrashRecords';
 import { RouteConfinement } from '../src/RouteConfinement';
-import { MAX_DISPATCH_PASS_INTERVAL_MS } from '../src/constants';
+import { MAX_DISPATCH_PASS_INTERVAL_MS, MAX_POLL_AGE_MS } from '../src/constants';
 import { Dispatcher } from '../src/Dispatcher';
 import { createTestJob } from './support';
 
@@ -158,4 +158,39 @@
     expect(agent.assigned).toEqual([]);
     dispatcher.halt();
   });
+
+  // Guards against a second run of a task whose client has left: the VM was paused after its sockets had been
+  // read, so that the end of the connection is read only after the pass.
+  it('assigns nothing after a pause before the sockets have been read again', async () => {
+    jest.useRealTimers();
+    const agent = createFakeAgent('a', 1, 5);
+    const dispatcher = createDispatcher([agent.connection]);
+    const job = createTestJob(1, 100);
+    // Stands for what is read in the next poll.
+    setImmediate(() => setImmediate(() => dispatcher.remove(job)));
+    dispatcher.add(job);
+    const pausedUntil = performance.now() + 2 * MAX_POLL_AGE_MS;
+    while (performance.now() < pausedUntil);
+    await sleep(50);
+    expect(agent.assigned).toEqual([]);
+    dispatcher.halt();
+  });
+
+  it('assigns nothing more in a pass that was paused', async () => {
+    jest.useRealTimers();
+    const agent = createFakeAgent('a', 1, 5);
+    const dispatcher = createDispatcher([agent.connection]);
+    const jobs = [createTestJob(1, 100), createTestJob(1, 100)];
+    const { assign } = agent.connection;
+    agent.connection.assign = (assignment) => {
+      const pausedUntil = performance.now() + 2 * MAX_POLL_AGE_MS;
+      while (performance.now() < pausedUntil);
+      setImmediate(() => jobs.forEach((job) => dispatcher.remove(job)));
+      return assign(assignment);
+    };
+    jobs.forEach((job) => dispatcher.add(job));
+    await sleep(50);
+    expect(agent.assigned).toHaveLength(1);
+    dispatcher.halt();
+  });
 });
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -14,3 +14,4 @@
 export * from './taskId';
 export * from './tcp';
 export * from './verdict';
+export * from './waitForPoll';
