--- a/marjorammast-app/src/dispatchEntry.ts
+++ b/marjorammast-app/src/dispatchEntry.ts
@@ -7,7 +7,7 @@
 } from '@marjorammast/platform';
 import { createRegistrationDecoder, dial, listen } from '@marjorammast/protocol';
 import { dispatchSettingsSchema } from '@marjorammast/settings';
-import { StoreMirror, registerProcess } from '@marjorammast/store';
+import { StoreMirror, WATCH_WAIT_MS, registerProcess } from '@marjorammast/store';
 import { createPrometheusMetrics } from '@marjorammast/telemetry';
 import { createDaemonLog } from './createDaemonLog';
 import { guardProcess, runDaemon } from './guardProcess';
@@ -15,9 +15,6 @@
 import { serveMetrics } from './serveMetrics';
 import { loadSettings, stopOnSignal } from './settings';
 
-/** Longest time that one watch request waits for a change in the store, in milliseconds. */
-const WATCH_TIMEOUT_MS = 4_000;
-
 /** Time that the load balancer takes to notice that the entry is not ready, in milliseconds. */
 const READINESS_NOTICE_MS = 2_500;
 
@@ -54,7 +51,7 @@
   const mirror = StoreMirror.create({
     store: platformStore,
     prefix: '',
-    waitMs: WATCH_TIMEOUT_MS,
+    waitMs: WATCH_WAIT_MS,
     onChange: (items, revision) => {
       entry.updatePeers(decodeRegistrations('entries', items.values()));
       entry.configure(decodeOperatorState(items), revision);
@@ -66,6 +63,9 @@
   metrics.gauge('marjorammast_store_connected', '1 while the store answers', () =>
     mirror.isConnected ? 1 : 0,
   );
+  metrics.gauge('marjorammast_store_answer_age_ms', 'Time since the last answer of the store', () =>
+    Math.round(mirror.answerAgeMs),
+  );
   await serveHttp(createReadinessHttp(entry), readiness);
   await serveHttp(createClientHttp(entry, log), clients);
   await serveMetrics(metrics, settings.metrics);
--- a/packages/store/src/StoreMirror.ts
+++ b/packages/store/src/StoreMirror.ts
@@ -40,6 +40,9 @@
 
   private endRetryDelay: (() => void) | undefined;
 
+  /** Monotonic time of the last answer, in milliseconds. */
+  private answeredAt = performance.now();
+
   private constructor(private readonly options: StoreMirrorOptions) {}
 
   /**
@@ -57,6 +60,11 @@
     return this.failures === 0 && this.revision >= 0;
   }
 
+  /** Time since the last answer of the store, or since the start, in milliseconds. */
+  get answerAgeMs(): number {
+    return performance.now() - this.answeredAt;
+  }
+
   /** Stops the updates. */
   stop(): void {
     this.isRunning = false;
@@ -115,13 +123,15 @@
   private handleAnswer(): void {
     if (this.failures > 0) this.options.log.info({ failures: this.failures }, 'store_regained');
     this.failures = 0;
+    this.answeredAt = performance.now();
   }
 
   private handleFailure(error: unknown): void {
     this.failures += 1;
     if (this.failures > 1) return;
     const detail = error instanceof Error ? error.message : String(error);
-    this.options.log.warn({ detail, revision: this.revision }, 'store_lost');
+    const answerAgeMs = Math.round(this.answerAgeMs);
+    this.options.log.warn({ detail, answerAgeMs, revision: this.revision }, 'store_lost');
   }
 
   private async waitBeforeRetry(): Promise<void> {
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -4,3 +4,4 @@
 export * from './swap';
 export * from './KeyValueStore';
 export * from './StoreMirror';
+export * from './watchTimes';
