Fix: a job that is submitted again waits until the runs of its earlier submission have ended (TWICE on shtrc)

Cause: an entry forgot a job with its last client, while the stops of its runs were under way. Ruled out: a start by the entry itself (each had its own 'job_accepted'); the other cause of TWICE, the next incarnation of a worker. Change: runs stay outstanding until the agent reports their end, or has been lost for RUN_EXPIRY_MS; nothing of a later submission is assigned before. 'job_accepted' says hasEarlierRuns.

--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -407,6 +407,7 @@
         cpu: step.needs.cpu,
         leftMs: Math.round(remainingMs),
         queued: this.dispatcher.queuedJobs,
+        hasEarlierRuns: this.dispatcher.hasEarlierRuns(job) || undefined,
       },
       'job_accepted',
     );
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -92,6 +92,14 @@
     return this.runs.has(agent);
   }
 
+  /**
+   * @param job - a job
+   * @returns true while runs of an earlier submission of the job may be active
+   */
+  hasEarlierRuns(job: ActiveJob): boolean {
+    return this.runs.hasEarlierRuns(job);
+  }
+
   /**
    * Queues a job: its waiting tasks are assigned as soon as workers have free resources.
    *
@@ -103,20 +111,14 @@
   }
 
   /**
-   * Removes an answered job and abandons its remaining runs.
+   * Removes an answered job and abandons its remaining runs. They stay outstanding until they have ended: until
+   * then nothing is assigned for the job if it is submitted again.
    *
    * @param job - the job
    */
   remove(job: ActiveJob): void {
     this.queue.delete(job);
-    job.agents.forEach((agent) => {
-      this.host.findConnection(agent)?.abandon([job.id]);
-      job.tasks.forEach(({ state }, index) => {
-        if (state.type === 'assigned' && state.agent === agent) {
-          this.runs.remove(agent, job.id, index);
-        }
-      });
-    });
+    job.agents.forEach((agent) => this.host.findConnection(agent)?.abandon([job.id]));
   }
 
   /** Schedules one dispatch pass for all calls in the same turn of the event loop. */
@@ -158,7 +160,7 @@
    * @param agent - name of the agent
    */
   handleAgentLoss(agent: string): void {
-    const runs = this.runs.removeAll(agent);
+    const runs = this.runs.detachAll(agent);
     if (runs.length === 0) return;
     this.host.log.warn({ agent, runs: runs.length, lapseMs: RUN_EXPIRY_MS }, 'runs_lapsing');
     // The worker may crash unseen while its agent is lost.
@@ -254,7 +256,7 @@
 
   private placeJob(job: ActiveJob, rooms: WorkerRooms, load: PassLoad): void {
     this.refuseIfHopeless(job, rooms);
-    if (!job.isOpen) return;
+    if (!job.isOpen || this.hasEarlierRuns(job)) return;
     const { step, objectiveAt } = job;
     const { crashRecords } = this.host;
     const waitingBefore = job.waitingTasks.length;
@@ -419,7 +421,10 @@
     this.add(job);
   }
 
-  private expireRun(agent: string, { job, index, run }: OutstandingRun): void {
+  private expireRun(agent: string, outstanding: OutstandingRun): void {
+    const { job, index, run } = outstanding;
+    this.runs.removeDetached(outstanding);
+    this.schedulePass();
     if (!job.isOpen || !job.isAssigned(index, agent, run)) return;
     this.applyEnd(job, index, agent, 'lapsed');
   }
--- a/packages/dispatch/src/OutstandingRuns.ts
+++ b/packages/dispatch/src/OutstandingRuns.ts
@@ -11,11 +11,14 @@
 
 const keyOf = (jobId: string, index: number): string => `${jobId}#${index}`;
 
-/** The runs of an entry that have not ended, by agent. */
+/** The runs of an entry that have not ended, also those of jobs that were answered. */
 export class OutstandingRuns {
   /** By agent, then by job and task index. */
   private readonly runsByAgent = new Map<string, Map<string, OutstandingRun>>();
 
+  /** By job; contains also the runs of lost agents until they are removed. */
+  private readonly runsByJob = new Map<string, Set<OutstandingRun>>();
+
   private constructor() {}
 
   /** @returns no runs */
@@ -48,6 +51,17 @@
     return this.runsByAgent.get(agent)?.get(keyOf(jobId, index));
   }
 
+  /**
+   * Tells whether runs of an earlier submission of a job have not ended.
+   *
+   * @param job - the present submission
+   * @returns true while such runs may be active
+   */
+  hasEarlierRuns(job: ActiveJob): boolean {
+    const runs = this.runsByJob.get(job.id);
+    return runs !== undefined && [...runs].some((run) => run.job !== job);
+  }
+
   /**
    * Adds a run.
    *
@@ -58,28 +72,49 @@
     const runs = this.runsByAgent.get(agent) ?? new Map<string, OutstandingRun>();
     runs.set(keyOf(run.job.id, run.index), run);
     this.runsByAgent.set(agent, runs);
+    const runsOfJob = this.runsByJob.get(run.job.id) ?? new Set<OutstandingRun>();
+    runsOfJob.add(run);
+    this.runsByJob.set(run.job.id, runsOfJob);
   }
 
   /**
-   * Removes the run of a task at an agent.
+   * Removes the run of a task at an agent, which has ended.
    *
    * @param agent - name of the agent
    * @param jobId - identifier of the job
    * @param index - index of the task
    */
   remove(agent: string, jobId: string, index: number): void {
+    const run = this.find(agent, jobId, index);
+    if (!run) return;
     this.runsByAgent.get(agent)?.delete(keyOf(jobId, index));
+    this.removeFromJob(run);
   }
 
   /**
-   * Removes all runs at an agent.
+   * Detaches all runs from an agent that is lost. They may be active until they are removed.
    *
    * @param agent - name of the agent
-   * @returns the removed runs
+   * @returns the runs
    */
-  removeAll(agent: string): OutstandingRun[] {
+  detachAll(agent: string): OutstandingRun[] {
     const runs = [...(this.runsByAgent.get(agent)?.values() ?? [])];
     this.runsByAgent.delete(agent);
     return runs;
   }
+
+  /**
+   * Removes a run that was detached from its agent and has ended.
+   *
+   * @param run - the run
+   */
+  removeDetached(run: OutstandingRun): void {
+    this.removeFromJob(run);
+  }
+
+  private removeFromJob(run: OutstandingRun): void {
+    const runs = this.runsByJob.get(run.job.id);
+    runs?.delete(run);
+    if (runs?.size === 0) this.runsByJob.delete(run.job.id);
+  }
 }
--- a/packages/proofs/tests/twice.test.ts
+++ b/packages/proofs/tests/twice.test.ts
@@ -1,4 +1,5 @@
 import fc from 'fast-check';
+import { sleep } from '@marjorammast/protocol';
 import { checkDispatchGuarantees } from './support/checkDispatchGuarantees';
 import { DispatchSimulation } from './support/DispatchSimulation';
 import type { SentJob } from './support/DispatchSimulation';
@@ -117,6 +118,28 @@
       expect(simulation.runs.length).toBeGreaterThan(12);
     });
 
+    // The entry forgot a job with its last client, while the stops of its runs were still under way.
+    it.each([1, 8, 40])(
+      'when clients whose connections broke send their jobs again to the same entry after %i ms',
+      async (pauseMs) => {
+        const simulation = await createSimulation(seed, 1, 4);
+        const ids = [...'0123456789'];
+        const resend = async (digit: string) => {
+          await simulation.send(createSentJob(digit, 2, 400), 0, 40);
+          await sleep(pauseMs);
+          await simulation.send(createSentJob(digit, 2, 400), 0);
+        };
+        const clients = ids.map(resend);
+        await jest.advanceTimersByTimeAsync(6_000);
+        await Promise.all(clients);
+        simulation.halt();
+        expect(checkDispatchGuarantees(simulation)).toEqual([]);
+        expect(simulation.answers.map(({ outcome }) => outcome.type)).toEqual(
+          Array(ids.length).fill('completed'),
+        );
+      },
+    );
+
     it.each([300, 2_500])(
       'when a worker whose deregistration was handled %i ms after its notice does not hear so',
       async (forMs) => {
