Fix: an entry that abandons a job stops only its own runs

The second submission lost its runs for a message of the first. Change: the agent compares the owner of the run with the link. Test: GateAgent.test.ts, 'stops for an entry that abandons a job only ...', failed before (both runs were stopped).

--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -265,8 +265,10 @@
       {
         attach: ({ entry, rules }, link) => this.attach(entry, rules, link),
         assign: (assignment, link) => this.assign(assignment, link),
-        abandon: ({ jobs }) => {
-          this.abandonRuns((run) => jobs.includes(run.task.job));
+        abandon: ({ jobs }, link) => {
+          const owner = this.connections.idOf(link);
+          // Another entry may have the same job, after its client has sent it again.
+          this.abandonRuns((run) => run.ownerId === owner && jobs.includes(run.task.job));
           return {};
         },
         renew: (_, link) => {
--- a/packages/gate/tests/GateAgent.test.ts
+++ b/packages/gate/tests/GateAgent.test.ts
@@ -289,4 +289,27 @@
     expect(agent.view.reason).toBe('runs unknown');
     agent.halt();
   });
+
+  // Guards against an entry that was paused, and stops the runs of the entry to which its client went.
+  it('stops for an entry that abandons a job only the runs that this entry has assigned', async () => {
+    const stopped: number[] = [];
+    const client = createBusyWorkerClient();
+    const agent = createAgent({
+      ...client,
+      stop: (command) => {
+        stopped.push(command.task.index);
+        return client.stop(command);
+      },
+    });
+    agent.handleReport(report);
+    const entries = [await attach(agent, 'first'), await attach(agent, 'second')];
+    await jest.advanceTimersByTimeAsync(10);
+    const echo = performance.now();
+    await entries[0]?.entryLink.call('assign', { ...assignment, echo, runs: [[0, 1]] });
+    await entries[1]?.entryLink.call('assign', { ...assignment, echo, runs: [[1, 1]] });
+    entries[0]?.entryLink.notify('abandon', { jobs: [assignment.job] });
+    await jest.advanceTimersByTimeAsync(20);
+    expect([...new Set(stopped)]).toEqual([0]);
+    agent.halt();
+  });
 });
