Only runs of open jobs count as lost with an agent; one way to remove a run

Read-through of the change: since runs stay outstanding after their job was answered, the loss of an agent recorded them as lost runs of a task too, which may give up a job that is sent again.

--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -164,7 +164,8 @@
     if (runs.length === 0) return;
     this.host.log.warn({ agent, runs: runs.length, lapseMs: RUN_EXPIRY_MS }, 'runs_lapsing');
     // The worker may crash unseen while its agent is lost.
-    runs.forEach(({ job, index, incarnation }) => {
+    const wantedRuns = runs.filter(({ job }) => job.isOpen);
+    wantedRuns.forEach(({ job, index, incarnation }) => {
       const lost = { job: job.id, index, route: job.route.name, wasStarted: false };
       this.host.crashRecords.recordLoss(agent, incarnation, [lost]);
     });
--- a/packages/dispatch/src/OutstandingRuns.ts
+++ b/packages/dispatch/src/OutstandingRuns.ts
@@ -88,7 +88,7 @@
     const run = this.find(agent, jobId, index);
     if (!run) return;
     this.runsByAgent.get(agent)?.delete(keyOf(jobId, index));
-    this.removeFromJob(run);
+    this.removeDetached(run);
   }
 
   /**
@@ -109,10 +109,6 @@
    * @param run - the run
    */
   removeDetached(run: OutstandingRun): void {
-    this.removeFromJob(run);
-  }
-
-  private removeFromJob(run: OutstandingRun): void {
     const runs = this.runsByJob.get(run.job.id);
     runs?.delete(run);
     if (runs?.size === 0) this.runsByJob.delete(run.job.id);
