Fix: the store is asked again at least each half second after an outage

Change: 0.4 s at most. Test: StoreMirror.test.ts, 'asks a store that was away for long again ...', failed before (1.5 s).

--- a/packages/store/src/StoreMirror.ts
+++ b/packages/store/src/StoreMirror.ts
@@ -20,7 +20,7 @@
 const RETRY_MS = 150;
 
 /** Maximum retry delay, in milliseconds. */
-const MAX_RETRY_MS = 1_500;
+const MAX_RETRY_MS = 400;
 
 /**
  * Maintains a local copy of the keys with a prefix. The copy never goes back to an older revision.
--- a/packages/store/tests/StoreMirror.test.ts
+++ b/packages/store/tests/StoreMirror.test.ts
@@ -93,4 +93,25 @@
     mirror.stop();
     expect(waits).toEqual([4_000, 0, 0, 4_000]);
   });
+
+  // Guards against an evacuation that is followed late, since the mirror still pauses when the store is back.
+  it('asks a store that was away for long again at least each half second', async () => {
+    const callTimes: number[] = [];
+    const store: KeyValueStore = {
+      read: async () => ({ revision: 5, values: [] }),
+      waitForChanges: () => {
+        callTimes.push(performance.now());
+        return Promise.reject(StoreError.create('no answer'));
+      },
+      write: async () => ({ type: 'conflict' }),
+    };
+    const log = createLog('test', 'silent');
+    const options = { store, prefix: '', waitMs: 4_000, onChange: jest.fn(), random: () => 1, log };
+    const mirror = StoreMirror.create(options);
+    await jest.advanceTimersByTimeAsync(20_000);
+    mirror.stop();
+    const pauses = callTimes.slice(1).map((at, index) => at - (callTimes[index] ?? 0));
+    expect(callTimes.length).toBeGreaterThan(10);
+    expect(Math.max(...pauses)).toBeLessThanOrEqual(500);
+  });
 });
