--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -183,7 +183,7 @@
     this.runPass();
   }
 
-  /** Tells whether too much time has passed since the poll of the sockets to rely on it. */
+  /** Tells whether too much time has passed since the poll of the sockets to rely on it, and logs that. */
   private isPollOutdated(elapsedMs: number): boolean {
     if (elapsedMs <= MAX_POLL_AGE_MS) return false;
     this.host.log.warn({ elapsedMs: Math.round(elapsedMs) }, 'poll_outdated');
--- a/packages/dispatch/src/OutstandingRuns.ts
+++ b/packages/dispatch/src/OutstandingRuns.ts
@@ -58,8 +58,9 @@
    * @returns true while such runs may be active
    */
   hasEarlierRuns(job: ActiveJob): boolean {
-    const runs = this.runsByJob.get(job.id);
-    return runs !== undefined && [...runs].some((run) => run.job !== job);
+    // Runs of a later submission are added only when there are none of the earlier one.
+    const [firstRun] = this.runsByJob.get(job.id) ?? [];
+    return firstRun !== undefined && firstRun.job !== job;
   }
 
   /**
--- a/packages/dispatch/tests/Dispatcher.test.ts
+++ b/packages/dispatch/tests/Dispatcher.test.ts
@@ -176,6 +176,7 @@
     dispatcher.halt();
   });
 
+  // Guards against the same when the VM is paused in the middle of a pass.
   it('assigns nothing more in a pass that was paused', async () => {
     jest.useRealTimers();
     const agent = createFakeAgent('a', 1, 5);
