Observability: an agent says when a start without an answer was carried out, and by which incarnation

Each agent now keeps such starts for a minute over all incarnations of its worker (UnsettledStarts) and logs started_late with incarnation= and sinceMs=; the metric marjorammast_late_starts{incarnation} counts them. No decision changes.

--- a/marjorammast-app/src/gateAgent.ts
+++ b/marjorammast-app/src/gateAgent.ts
@@ -24,6 +24,11 @@
     'Runs that were listed as running after their end was reported',
     [],
   );
+  const lateStarts = metrics.counter(
+    'marjorammast_late_starts',
+    'Starts without an answer that were carried out, by the incarnation that did so',
+    ['incarnation'],
+  );
   const crashes = metrics.counter('marjorammast_worker_crashes', 'Crashes of the worker', []);
   const lostByCrash = metrics.counter('marjorammast_runs_lost', 'Runs on crashed workers', []);
   const agent = GateAgent.create({
@@ -42,6 +47,7 @@
         ends.inc({ sign });
       },
       endContradicted: () => contradictions.inc(),
+      startedLate: (incarnation) => lateStarts.inc({ incarnation }),
       crashed: (lostRuns) => {
         crashes.inc();
         lostByCrash.inc(lostRuns);
--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -20,6 +20,8 @@
 import { isSameIncarnation } from './isSameIncarnation';
 import { probationDelay, probationRemainingMs } from './probation';
 import { SlownessEstimate, findSlowRuns } from './SlownessEstimate';
+import { UnsettledStarts } from './UnsettledStarts';
+import type { UnsettledStart } from './UnsettledStarts';
 import { WorkerHealth } from './WorkerHealth';
 import { WorkerSession } from './WorkerSession';
 import type { EndSign, LostRun, Run } from './run';
@@ -32,6 +34,8 @@
   ended: (how: RunEnd, ms: number, sign: EndSign) => void;
   /** A run is still running after its end was reported. */
   endContradicted: () => void;
+  /** A start without an answer was carried out, by the incarnation it was sent to or by a later one. */
+  startedLate: (incarnation: 'same' | 'later') => void;
   crashed: (lostRuns: number) => void;
 };
 
@@ -77,6 +81,8 @@
 
   private slowness = SlownessEstimate.create();
 
+  private readonly unsettledStarts = UnsettledStarts.create();
+
   private isStopping = false;
 
   /** Ends an ejection, a slowdown or a probation, which changes the view without any other event. */
@@ -202,6 +208,9 @@
       mayStart: (run: Run) => this.mayStart(run),
       onRunEnded: (run: Run, how: RunEnd, sign: EndSign) => this.handleRunEnd(run, how, sign),
       onEndContradicted: () => this.options.meter.endContradicted(),
+      unsettledStarts: this.unsettledStarts,
+      onStartedLate: (start: UnsettledStart, listedBorn: number) =>
+        this.recordLateStart(start, listedBorn),
       onUnhealthy: (run: Run) => this.recordFailure(run, 'unhealthy'),
       onStalled: (run: Run) => this.recordFailureOfTask(run, 'stalled'),
       onChanged: () => this.connections.handleChange(),
@@ -245,6 +254,14 @@
     this.connections.handleChange();
   }
 
+  private recordLateStart(start: UnsettledStart, listedBorn: number): void {
+    const { task, run, born, unansweredAt } = start;
+    const incarnation = born === listedBorn ? 'same' : 'later';
+    const sinceMs = Math.round(performance.now() - unansweredAt);
+    this.options.meter.startedLate(incarnation);
+    this.options.log.warn({ task: taskKey(task), run, incarnation, sinceMs }, 'started_late');
+  }
+
   private handleCrash(worker: WorkerIdentity, lostRuns: readonly LostRun[]): void {
     this.options.meter.crashed(lostRuns.length);
     this.crashReports.reportCrash(worker, lostRuns);
--- a/packages/gate/src/WorkerSession.ts
+++ b/packages/gate/src/WorkerSession.ts
@@ -20,6 +20,7 @@
 import { findStalledRuns } from './findStalledRuns';
 import { LostRuns } from './LostRuns';
 import type { EndSign, LostRun, Run } from './run';
+import type { UnsettledStart, UnsettledStarts } from './UnsettledStarts';
 import { WorkerContact } from './WorkerContact';
 import { WorkerLease } from './WorkerLease';
 import type {
@@ -48,6 +49,10 @@
   onRunEnded: (run: Run, how: RunEnd, sign: EndSign) => void;
   /** Called when the worker lists a run as running whose end has been reported before. */
   onEndContradicted: () => void;
+  /** Starts without an answer, also those that were sent to earlier incarnations of the worker. */
+  unsettledStarts: UnsettledStarts;
+  /** Called when the worker lists a run whose start got no answer. */
+  onStartedLate: (start: UnsettledStart, born: number) => void;
   /** Called when the worker refuses a run as unhealthy. */
   onUnhealthy: (run: Run) => void;
   /** Called when a run makes no progress. */
@@ -396,6 +401,7 @@
    */
   private async settleUnansweredStart(run: Run): Promise<void> {
     run.unansweredAt = performance.now();
+    this.host.unsettledStarts.add(run.task, run.run, this.identity);
     this.raiseToken();
     while (this.isTracked(run) && run.state === 'starting') {
       await this.fetchRunList();
@@ -481,6 +487,7 @@
   private renewLease(): void {
     this.expireRunsIfUnresponsive();
     this.endedRuns.expire();
+    this.host.unsettledStarts.expire();
     if (this.runs.size === 0) return;
     const renewedAt = Math.min(this.lease.extendedAt, this.listedAt);
     const remainingMs = Math.ceil(renewedAt + RENEW_PERIOD_MS - performance.now());
@@ -537,6 +544,7 @@
         const wasUnresponsive = this.contact.isSilent;
         this.recordContact(list.clock);
         this.listedAt = performance.now();
+        this.findLateStarts(list);
         list.ended.forEach((end) => this.recordEnd(end.number, end.task, end.run, end.how));
         this.findContradictedEnds(list.running, requestedAt);
         this.reconcileRunning(list.running, requestedAt);
@@ -606,6 +614,13 @@
     this.removeRun(known, how === 'stopped' ? known.endIfStopped : how, 'listed');
   }
 
+  private findLateStarts({ running, ended, born }: RunList): void {
+    [...running, ...ended].forEach(({ task, run }) => {
+      const start = this.host.unsettledStarts.take(task, run);
+      if (start) this.host.onStartedLate(start, born);
+    });
+  }
+
   /** Logs runs that are running although their end was reported before the list was requested. */
   private findContradictedEnds(running: readonly ListedRun[], requestedAt: number): void {
     running.forEach(({ task, run }) => {
--- a/packages/gate/src/constants.ts
+++ b/packages/gate/src/constants.ts
@@ -93,3 +93,9 @@
  * worker may carry it out after 12 s, and a run without renewals lasts for a second.
  */
 export const UNCONFIRMED_RUN_MS = 14_000;
+
+/**
+ * Time for which a start without an answer is remembered, in milliseconds: a worker carries such a command out
+ * seconds later, if at all.
+ */
+export const UNSETTLED_START_RETENTION_MS = 60_000;
--- a/packages/gate/tests/GateAgent.test.ts
+++ b/packages/gate/tests/GateAgent.test.ts
@@ -90,6 +90,7 @@
       assigned: jest.fn(),
       ended: jest.fn(),
       endContradicted: jest.fn(),
+      startedLate: jest.fn(),
       crashed: jest.fn(),
     },
   });
--- a/packages/gate/tests/WorkerSession.test.ts
+++ b/packages/gate/tests/WorkerSession.test.ts
@@ -1,6 +1,7 @@
 import { createLog } from '@marjorammast/telemetry';
 import type { RunEnd } from '@marjorammast/protocol';
 import { CLOCK_RATE_TOLERANCE, EXPIRY_MARGIN_MS, LEASE_MS } from '../src/constants';
+import { UnsettledStarts } from '../src/UnsettledStarts';
 import { WorkerSession } from '../src/WorkerSession';
 import type { Run } from '../src/run';
 import type { SessionHandover, WorkerSessionHost } from '../src/WorkerSession';
@@ -112,6 +113,8 @@
     mayStart: () => fixture.mayStart,
     onRunEnded: (_, how) => fixture.ends.push(how),
     onEndContradicted: jest.fn(),
+    unsettledStarts: UnsettledStarts.create(),
+    onStartedLate: jest.fn(),
     onUnhealthy: jest.fn(),
     onStalled: jest.fn(),
     onChanged: jest.fn(),
@@ -159,6 +162,20 @@
     fixture.session.end();
   });
 
+  it('tells which incarnation carried out a start that got no answer', async () => {
+    const fixture = createFixture();
+    await advance(20);
+    fixture.startAnswer = noAnswer;
+    const run = createRun(0);
+    fixture.running = [{ task: run.task, run: 1, percent: 10 }];
+    fixture.session.startRun(run, '');
+    await advance(60);
+    const start = expect.objectContaining({ task: run.task, run: 1, born: BORN });
+    expect(fixture.host.onStartedLate).toHaveBeenCalledWith(start, BORN);
+    expect(fixture.host.onStartedLate).toHaveBeenCalledTimes(1);
+    fixture.session.end();
+  });
+
   it('takes no start for fenced by a list with a row that cannot be read', async () => {
     const fixture = createFixture();
     await advance(20);
--- a/packages/proofs/tests/support/DispatchSimulation.ts
+++ b/packages/proofs/tests/support/DispatchSimulation.ts
@@ -256,6 +256,7 @@
         assigned: () => undefined,
         ended: () => undefined,
         endContradicted: () => undefined,
+        startedLate: () => undefined,
         crashed: () => undefined,
       },
     });
