Fix: a task whose start has no answer starts on no other worker (TWICE)

Cause: a start without an answer was taken for never carried out on the word of one incarnation of its worker. The agent raised its token, a list with it did not show the run, and the entry started the task elsewhere. The next incarnation under the same id has seen no token, the command names only the id, and it carried the start out before the agent's first call. Class: a fact about one incarnation of a worker taken for a fact about the worker. Ruled out: a bound for the time that a command is on its way (the platform's page states none); being first at the next incarnation (5 ms remain); the lease (a time on the old clock means nothing to the new one). Change: the agent counts the starts of a run that were neither answered nor shown in effect (pendingStarts), keeps them for a minute over all incarnations (UnsettledStarts), and tells all its entries, also those that attach later, before their owners hear of the end. An entry binds such a task to that worker (BoundTasks), also for later copies of the job, whoever owns them: there the run numbers and tokens of the worker exclude a second run. Tests that were changed: (1) the checker counted workers that had said they leave, and left, as crashes under their tasks. The rule speaks of workers that crash.

--- a/packages/dispatch/src/AgentConnection.ts
+++ b/packages/dispatch/src/AgentConnection.ts
@@ -6,6 +6,7 @@
   Params,
   Resources,
   Result,
+  UnsettledTasks,
   WorkerCrash,
   WorkerView,
 } from '@marjorammast/protocol';
@@ -34,6 +35,8 @@
   onLost: (agent: string) => void;
   /** Called with each crash that the agent reports, and after each attach with the recent ones. */
   onCrash: (crash: WorkerCrash) => void;
+  /** Called after each attach with the tasks of which a start got no answer there. */
+  onUnsettled: (agent: string, tasks: UnsettledTasks) => void;
   /** Called after each attach with the rules that the agent has, which may be newer. */
   onRules: (rules: AdmissionRules) => void;
   random: () => number;
@@ -276,6 +279,7 @@
       this.host.log.info({ agent: this.name }, 'agent_attached');
       this.host.onRules(answer.rules);
       answer.crashes.forEach((crash) => this.host.onCrash(crash));
+      this.host.onUnsettled(this.name, answer.unsettled);
       this.updateView(pendingAttach.view ?? answer.view);
     } catch (error) {
       this.pendingAttach = undefined;
--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -315,6 +315,11 @@
           this.crashes.handleCrash(crash);
           return {};
         },
+        unsettled: ({ unsettled }, link) => {
+          const connection = findByLink(link);
+          if (connection) this.dispatcher.bindTasks(connection.name, unsettled);
+          return {};
+        },
         operatorState: () => ({ state: this.operatorState }),
         rules: (rules) => {
           this.applyRules(rules);
@@ -472,6 +477,7 @@
       },
       onLost: (agentName) => this.dispatcher.handleAgentLoss(agentName),
       onCrash: (crash) => this.crashes.handleCrash(crash),
+      onUnsettled: (agentName, tasks) => this.dispatcher.bindTasks(agentName, tasks),
       onRules: (rules) => {
         this.applyRules(rules);
         void this.catchUp(rules.revision);
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -1,9 +1,10 @@
 import { match } from 'ts-pattern';
 import { CallError } from '@marjorammast/protocol';
-import type { Params, Route, RunEnd } from '@marjorammast/protocol';
+import type { Params, Route, RunEnd, UnsettledTasks } from '@marjorammast/protocol';
 import type { Log } from '@marjorammast/telemetry';
 import type { ActiveJob } from './ActiveJob';
 import type { AgentConnection, Assignment } from './AgentConnection';
+import { BoundTasks } from './BoundTasks';
 import {
   DECLINE_PAUSE_MS,
   MAX_DISPATCH_PASS_INTERVAL_MS,
@@ -57,6 +58,8 @@
 
   private readonly runs = OutstandingRuns.create();
 
+  private readonly boundTasks = BoundTasks.create();
+
   /** How long queued work waits, by service and lateness. */
   private readonly estimates = new Map<string, QueueEstimate>();
 
@@ -153,6 +156,16 @@
     this.schedulePass();
   }
 
+  /**
+   * Binds tasks to the worker of an agent: a start that was sent there has no answer.
+   *
+   * @param agent - name of the agent
+   * @param tasks - pairs of job and task index
+   */
+  bindTasks(agent: string, tasks: UnsettledTasks): void {
+    tasks.forEach(([job, index]) => this.boundTasks.bind(job, index, agent));
+  }
+
   /**
    * Handles the loss of the connection to an agent: the tasks that run there are queued again once
    * their runs have certainly ended.
@@ -265,18 +278,21 @@
     const slackMs = objectiveAt - performance.now();
     const goal = { estimateMs: step.estimateMs, slackMs, bestSlowness };
     [RESERVED_TASKS, 0].forEach((reservedTasks) => {
-      const groups = groupWaitingTasks(
-        job,
-        (index) => crashRecords.isSuspect(job.id, index),
-        (index) => crashRecords.mustWait(job.id, index),
-      );
+      const groups = groupWaitingTasks(job, {
+        isSuspect: (index) => crashRecords.isSuspect(job.id, index),
+        mustWait: (index) => crashRecords.mustWait(job.id, index),
+        boundTo: (index) => this.boundTasks.agentOf(job.id, index),
+      });
       groups.forEach((group) => {
-        const candidates = rooms.findCandidates(step, group.avoidedAgents, reservedTasks);
-        const placements = placeTasks(
-          candidates,
-          { ...goal, count: group.indexes.length },
-          this.host.random,
-        );
+        const count = group.indexes.length;
+        const placements =
+          group.boundTo === undefined
+            ? placeTasks(
+                rooms.findCandidates(step, group.avoidedAgents, reservedTasks),
+                { ...goal, count },
+                this.host.random,
+              )
+            : rooms.placeAt(group.boundTo, step, count);
         this.assignGroup(job, group, placements, rooms);
       });
     });
--- a/packages/dispatch/src/WorkerRooms.ts
+++ b/packages/dispatch/src/WorkerRooms.ts
@@ -2,7 +2,7 @@
 import type { Resources, WorkerView } from '@marjorammast/protocol';
 import type { AgentConnection } from './AgentConnection';
 import type { Step } from './job';
-import type { Candidate } from './placeTasks';
+import type { Candidate, Placement } from './placeTasks';
 
 /** What placement needs to know of the entry and its data centres. */
 export type RoomFilter = {
@@ -143,6 +143,22 @@
     );
   }
 
+  /**
+   * Places tasks that are bound to one agent. Neither the speed of its worker nor the confinement of the route
+   * matters, since there is no other.
+   *
+   * @param agent - name of the agent
+   * @param step - step of the tasks
+   * @param count - number of the tasks
+   * @returns the placement, if there is room for a task
+   */
+  placeAt(agent: string, step: Step, count: number): Placement[] {
+    const room = this.rooms.find(({ connection }) => connection.name === agent);
+    if (!room || !canRun(step, room.view)) return [];
+    const placedCount = Math.min(count, this.toCandidate(room, step, 0).fittingTasks);
+    return placedCount > 0 ? [{ agent, count: placedCount }] : [];
+  }
+
   /**
    * Updates the free resources of a worker after an assignment.
    *
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -98,6 +98,12 @@
 /** Time for which crashes under the tasks of a job are remembered, in milliseconds. */
 export const CRASH_RETENTION_MS = 60_000;
 
+/**
+ * Time for which a task stays bound to a worker that has not answered its start, in milliseconds: a worker carries
+ * such a command out seconds later, if at all.
+ */
+export const BOUND_TASK_RETENTION_MS = 60_000;
+
 /** Time after the last crash by a task of a route for which the route is confined, in milliseconds. */
 export const CONFINEMENT_MS = 5_000;
 
--- a/packages/dispatch/src/groupWaitingTasks.ts
+++ b/packages/dispatch/src/groupWaitingTasks.ts
@@ -8,30 +8,42 @@
   avoidedAgents: ReadonlySet<string>;
   /** A worker crashed just after it had started one of the tasks. */
   isSuspect: boolean;
+  /** Name of the only agent that may get the tasks; `undefined` when any may. */
+  boundTo?: string;
+};
+
+/** What is known of the tasks of a job, by their index. */
+export type TaskKnowledge = {
+  /** Tells whether a task is suspected to have crashed a worker. */
+  isSuspect: (index: number) => boolean;
+  /** Tells whether a task must not be started now. */
+  mustWait: (index: number) => boolean;
+  /** Finds the only agent that may get a task. */
+  boundTo: (index: number) => string | undefined;
 };
 
 /**
- * Groups the waiting tasks of a job for placement. Tasks that failed or stalled before are placed one by
- * one, since each has its own agents to avoid. Tasks that are suspected to have crashed a worker are
+ * Groups the waiting tasks of a job for placement. Tasks that failed or stalled before, or are bound to an agent, are
+ * placed one by one, since each has its own agents to avoid or to use. Tasks that are suspected to have crashed a worker are
  * placed apart from the others. Tasks that have lost too many workers are not placed.
  *
  * @param job - the job
- * @param isSuspect - tells whether a task is suspected to have crashed a worker
- * @param mustWait - tells whether a task must not be started now
+ * @param knowledge - what is known of its tasks
  * @returns the groups in the order in which they are placed
  */
 export const groupWaitingTasks = (
   job: ActiveJob,
-  isSuspect: (index: number) => boolean,
-  mustWait: (index: number) => boolean,
+  { isSuspect, mustWait, boundTo }: TaskKnowledge,
 ): TaskGroup[] => {
   const placeable = job.waitingTasks.filter((index) => !mustWait(index));
   const tasks = placeable.map((index) => ({
     index,
     avoidedAgents: job.tasks[index]?.avoidedAgents ?? new Set<string>(),
     isSuspect: isSuspect(index),
+    boundTo: boundTo(index),
   }));
-  const isFirstAttempt = (task: (typeof tasks)[number]) => task.avoidedAgents.size === 0;
+  const isFirstAttempt = (task: (typeof tasks)[number]) =>
+    task.avoidedAgents.size === 0 && task.boundTo === undefined;
   const retries = tasks
     .filter((task) => !isFirstAttempt(task))
     .map(({ index, ...rest }) => ({ indexes: [index], ...rest }));
--- a/packages/dispatch/tests/Dispatcher.test.ts
+++ b/packages/dispatch/tests/Dispatcher.test.ts
@@ -121,6 +121,24 @@
 
   // Guards against jobs that are refused though there is room, since a job that left the queue without a
   // pass (its client had gone) was taken to wait until the next job came.
+  // Guards against two runs of a task: the next incarnation of a worker may carry out a start that had no answer.
+  it('starts a task elsewhere only if no start of it is without an answer, also for a later copy of its job', async () => {
+    const agents = ['a', 'b'].map((name) => createFakeAgent(name, 1, 5));
+    const dispatcher = createDispatcher(agents.map(({ connection }) => connection));
+    const [busy, free] = agents;
+    Object.assign(busy?.connection ?? {}, { free: resourcesFor(0) });
+    dispatcher.bindTasks('a', [['a', 1]]);
+    const job = createTestJob(2, 1_000);
+    dispatcher.add(job);
+    await jest.advanceTimersByTimeAsync(50);
+    expect(free?.assigned.map(({ runs }) => runs)).toEqual([[[0, 1]]]);
+    expect(busy?.assigned).toEqual([]);
+    Object.assign(busy?.connection ?? {}, { free: resourcesFor(5) });
+    await jest.advanceTimersByTimeAsync(50);
+    dispatcher.halt();
+    expect(busy?.assigned.map(({ runs }) => runs)).toEqual([[[1, 1]]]);
+  });
+
   it('does not take the time in which nothing was queued for a wait', async () => {
     const agent = createFakeAgent('a', 1, 0);
     const dispatcher = createDispatcher([agent.connection]);
--- a/packages/gate/src/EntryConnections.ts
+++ b/packages/gate/src/EntryConnections.ts
@@ -5,6 +5,7 @@
   Params,
   Resources,
   RunEnd,
+  UnsettledTasks,
   WorkerCrash,
   WorkerView,
 } from '@marjorammast/protocol';
@@ -60,6 +61,9 @@
 
   private isChangePending = false;
 
+  /** Tasks of starts without an answer that are sent together at the end of the current event-loop turn. */
+  private pendingUnsettled: UnsettledTasks = [];
+
   private constructor(private readonly host: EntryConnectionsHost) {}
 
   /**
@@ -192,6 +196,18 @@
     this.connections.forEach(({ link }) => link.notify('crash', crash));
   }
 
+  /**
+   * Tells all entries that a start of a task has no answer, before they hear of ends that are reported
+   * afterwards.
+   *
+   * @param job - identifier of the job
+   * @param index - index of the task
+   */
+  reportUnsettled(job: string, index: number): void {
+    if (this.pendingUnsettled.length === 0) setImmediate(() => this.sendUnsettled());
+    this.pendingUnsettled.push([job, index]);
+  }
+
   /** Closes all connections. */
   closeAll(): void {
     clearTimeout(this.viewTimer);
@@ -225,7 +241,15 @@
     connection.known = { ...connection.known, free };
   }
 
+  private sendUnsettled(): void {
+    const unsettled = this.pendingUnsettled;
+    if (unsettled.length === 0) return;
+    this.pendingUnsettled = [];
+    this.connections.forEach(({ link }) => link.notify('unsettled', { unsettled }));
+  }
+
   private sendEnds(connection: EntryConnection): void {
+    this.sendUnsettled();
     const runs = connection.pendingEnds;
     const { free } = this.host.view();
     connection.pendingEnds = [];
--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -25,7 +25,7 @@
 import { WorkerHealth } from './WorkerHealth';
 import { WorkerSession } from './WorkerSession';
 import type { EndSign, LostRun, Run } from './run';
-import type { SessionHandover } from './WorkerSession';
+import type { SessionHandover } from './workerSessionHost';
 import type { WorkerClient, WorkerIdentity, WorkerReport } from './WorkerClient';
 
 /** Metrics that an agent reports. */
@@ -81,7 +81,9 @@
 
   private slowness = SlownessEstimate.create();
 
-  private readonly unsettledStarts = UnsettledStarts.create();
+  private readonly unsettledStarts = UnsettledStarts.create(({ job, index }) =>
+    this.connections.reportUnsettled(job, index),
+  );
 
   private isStopping = false;
 
@@ -312,6 +314,7 @@
       rules: this.rules,
       view: this.view,
       crashes: this.crashReports.recent,
+      unsettled: this.unsettledStarts.tasks,
       clock: clock(),
     };
   }
--- a/packages/gate/src/UnsettledStarts.ts
+++ b/packages/gate/src/UnsettledStarts.ts
@@ -1,5 +1,5 @@
 import { taskKey } from '@marjorammast/protocol';
-import type { TaskId } from '@marjorammast/protocol';
+import type { TaskId, UnsettledTasks } from '@marjorammast/protocol';
 import { UNSETTLED_START_RETENTION_MS } from './constants';
 import type { WorkerIdentity } from './WorkerClient';
 
@@ -17,17 +17,28 @@
 
 /** The starts without an answer that an agent has sent, over all incarnations of its worker. */
 export class UnsettledStarts {
+  /** By task and run, oldest first. */
   private readonly starts = new Map<string, UnsettledStart>();
 
-  private constructor() {}
+  /** @param onAdded - called with each task that has a start without an answer */
+  private constructor(private readonly onAdded: (task: TaskId) => void) {}
 
-  /** @returns no starts */
-  static create(): UnsettledStarts {
-    return new UnsettledStarts();
+  /**
+   * @param onAdded - called with the task of each start that is added
+   * @returns no starts
+   */
+  static create(onAdded: (task: TaskId) => void): UnsettledStarts {
+    return new UnsettledStarts(onAdded);
+  }
+
+  /** Tasks of the starts that are not older than the retention time, as pairs of job and task index. */
+  get tasks(): UnsettledTasks {
+    this.expire();
+    return [...this.starts.values()].map(({ task }) => [task.job, task.index]);
   }
 
   /**
-   * Adds a start that was just found to have no answer.
+   * Adds a start that has no answer, unless it was added before.
    *
    * @param task - task of the run
    * @param run - number of the run
@@ -35,9 +46,10 @@
    */
   add(task: TaskId, run: number, { born }: WorkerIdentity): void {
     const key = keyOf(task, run);
-    // A repeated start goes to the end, so that the oldest are first.
-    this.starts.delete(key);
+    if (this.starts.has(key)) return;
+    this.expire();
     this.starts.set(key, { task, run, born, unansweredAt: performance.now() });
+    this.onAdded(task);
   }
 
   /**
@@ -55,8 +67,7 @@
     return start;
   }
 
-  /** Removes starts whose retention time has passed. */
-  expire(): void {
+  private expire(): void {
     const oldestKept = performance.now() - UNSETTLED_START_RETENTION_MS;
     [...this.starts]
       .filter(([, { unansweredAt }]) => unansweredAt < oldestKept)
--- a/packages/gate/src/WorkerSession.ts
+++ b/packages/gate/src/WorkerSession.ts
@@ -8,7 +8,6 @@
   withoutDeficits,
 } from '@marjorammast/protocol';
 import type { Resources, RunEnd, TaskId } from '@marjorammast/protocol';
-import type { Log } from '@marjorammast/telemetry';
 import {
   LONG_POLL_MS,
   MIN_START_LEASE_MS,
@@ -18,63 +17,21 @@
 } from './constants';
 import { EndedRuns } from './EndedRuns';
 import { findStalledRuns } from './findStalledRuns';
+import { isAbsent } from './isAbsent';
 import { LostRuns } from './LostRuns';
-import type { EndSign, LostRun, Run } from './run';
-import type { UnsettledStart, UnsettledStarts } from './UnsettledStarts';
+import type { EndSign, Run } from './run';
 import { WorkerContact } from './WorkerContact';
 import { WorkerLease } from './WorkerLease';
+import type { SessionHandover, WorkerSessionHost } from './workerSessionHost';
 import type {
   HoldCommand,
   ListedRun,
   CommandResult,
   RunList,
   WorkerIdentity,
-  WorkerClient,
   WorkerReport,
 } from './WorkerClient';
 
-/** State that is passed from the session of one worker incarnation to the next session. */
-export type SessionHandover = {
-  /** Highest fencing token that the worker may have received. */
-  token: number;
-  /** Runs that either incarnation of the worker may have started. */
-  unconfirmed: readonly Run[];
-};
-
-/** Connection of a session to the worker and callbacks into the agent. */
-export type WorkerSessionHost = {
-  worker: WorkerClient;
-  /** Tells whether a run that has waited for its start may still start. */
-  mayStart: (run: Run) => boolean;
-  onRunEnded: (run: Run, how: RunEnd, sign: EndSign) => void;
-  /** Called when the worker lists a run as running whose end has been reported before. */
-  onEndContradicted: () => void;
-  /** Starts without an answer, also those that were sent to earlier incarnations of the worker. */
-  unsettledStarts: UnsettledStarts;
-  /** Called when the worker lists a run whose start got no answer. */
-  onStartedLate: (start: UnsettledStart, born: number) => void;
-  /** Called when the worker refuses a run as unhealthy. */
-  onUnhealthy: (run: Run) => void;
-  /** Called when a run makes no progress. */
-  onStalled: (run: Run) => void;
-  /** Called when the free resources or the availability of the worker have changed. */
-  onChanged: () => void;
-  /**
-   * Called with the running runs after their progress was updated. Returns those that would end
-   * sooner on another worker.
-   */
-  findRunsToMove: (runs: readonly Run[]) => Run[];
-  /** Called when another incarnation of the worker has answered. */
-  onReplaced: () => void;
-  /** Called when the worker has deregistered and all its runs have ended. */
-  onLeft: () => void;
-  /** Called once the worker is known to have crashed, with the runs that it had. */
-  onCrashed: (lostRuns: readonly LostRun[]) => void;
-  /** Called with the runs whose leases have expired while the worker was silent. */
-  onLost: (runs: readonly Run[]) => void;
-  log: Log;
-};
-
 /**
  * Computes a fencing token from the start time of a worker incarnation and a reading of its clock. The
  * token is higher than those used for earlier incarnations and by earlier processes of the agent.
@@ -311,6 +268,7 @@
     clearTimeout(this.renewalTimer);
     this.select(({ state }) => state === 'waiting').forEach((run) => this.stop(run));
     const unconfirmed = this.select(({ wasListed }) => !wasListed);
+    unconfirmed.forEach((run) => this.recordIfUnsettled(run));
     this.select(({ wasListed }) => wasListed).forEach((run) =>
       this.removeRun(run, 'lapsed', 'sessionEnded'),
     );
@@ -360,6 +318,7 @@
   private async sendStart(run: Run, spec: string): Promise<void> {
     const { task } = run;
     run.startToken = this.token;
+    run.pendingStarts += 1;
     const answer = await this.host.worker.start({
       ...this.commandBase,
       task,
@@ -367,6 +326,8 @@
       spec,
       leaseUntil: this.isLeaseWithheld ? this.lease.end : this.lease.extend(),
     });
+    const wasSettled = answer.type !== 'noAnswer' || answer.wasRefused;
+    if (wasSettled) run.pendingStarts = Math.max(0, run.pendingStarts - 1);
     if (!this.isTracked(run)) return;
     match(answer)
       .with({ type: 'accepted' }, ({ clock }) => {
@@ -401,15 +362,20 @@
    */
   private async settleUnansweredStart(run: Run): Promise<void> {
     run.unansweredAt = performance.now();
-    this.host.unsettledStarts.add(run.task, run.run, this.identity);
     this.raiseToken();
     while (this.isTracked(run) && run.state === 'starting') {
       await this.fetchRunList();
+      if (this.isTracked(run)) this.recordIfUnsettled(run);
       if (this.isTracked(run) && run.state === 'starting') await sleep(RETRY_PAUSE_MS);
     }
     if (this.isTracked(run) && run.state === 'stopping') await this.stopUntilConfirmed(run);
   }
 
+  /** Remembers a run whose start may still be carried out, by this incarnation of the worker or by the next. */
+  private recordIfUnsettled({ task, run, pendingStarts }: Run): void {
+    if (pendingStarts > 0) this.host.unsettledStarts.add(task, run, this.identity);
+  }
+
   private raiseToken(): void {
     const { born } = this.identity;
     this.token = Math.max(this.token + 1, fencingTokenAt(born, this.lease.workerTime));
@@ -420,7 +386,7 @@
   private endFencedRuns(list: RunList, token: number): void {
     this.sentRuns
       .filter((run) => !run.wasStarted && run.unansweredAt !== undefined)
-      .filter((run) => run.startToken < token && this.isAbsent(run, list))
+      .filter((run) => run.startToken < token && isAbsent(run, list))
       .forEach((run) => this.removeRun(run, 'notRun', 'fenced'));
   }
 
@@ -443,7 +409,7 @@
       // does so when it has stopped or ended a run of the task with this number or a higher one.
       const cannotStart =
         stopped.type === 'accepted' || (stopped.type === 'refused' && stopped.reason === 'lowRun');
-      if (cannotStart && listed && this.isAbsent(run, listed)) {
+      if (cannotStart && listed && isAbsent(run, listed)) {
         this.removeRun(run, 'notRun', 'stopConfirmed');
         return;
       }
@@ -451,14 +417,6 @@
     }
   }
 
-  /** True when the list shows that the run is not active. A list with an unreadable row shows nothing. */
-  private isAbsent(run: Run, { running, hasUnreadableRows }: RunList): boolean {
-    const isListed = running.some(
-      (row) => taskKey(row.task) === taskKey(run.task) && row.run === run.run,
-    );
-    return !isListed && !hasUnreadableRows;
-  }
-
   private isTracked(run: Run): boolean {
     return !this.hasEnded && this.runs.get(taskKey(run.task)) === run;
   }
@@ -487,7 +445,6 @@
   private renewLease(): void {
     this.expireRunsIfUnresponsive();
     this.endedRuns.expire();
-    this.host.unsettledStarts.expire();
     if (this.runs.size === 0) return;
     const renewedAt = Math.min(this.lease.extendedAt, this.listedAt);
     const remainingMs = Math.ceil(renewedAt + RENEW_PERIOD_MS - performance.now());
@@ -544,7 +501,7 @@
         const wasUnresponsive = this.contact.isSilent;
         this.recordContact(list.clock);
         this.listedAt = performance.now();
-        this.findLateStarts(list);
+        this.settleListedStarts(list);
         list.ended.forEach((end) => this.recordEnd(end.number, end.task, end.run, end.how));
         this.findContradictedEnds(list.running, requestedAt);
         this.reconcileRunning(list.running, requestedAt);
@@ -614,8 +571,11 @@
     this.removeRun(known, how === 'stopped' ? known.endIfStopped : how, 'listed');
   }
 
-  private findLateStarts({ running, ended, born }: RunList): void {
+  /** A run that is listed was started: its start is no longer on its way. */
+  private settleListedStarts({ running, ended, born }: RunList): void {
     [...running, ...ended].forEach(({ task, run }) => {
+      const known = this.find(task);
+      if (known?.run === run) known.pendingStarts = 0;
       const start = this.host.unsettledStarts.take(task, run);
       if (start) this.host.onStartedLate(start, born);
     });
@@ -710,6 +670,7 @@
 
   private removeRun(run: Run, how: RunEnd, sign: EndSign): void {
     this.runs.delete(taskKey(run.task));
+    this.recordIfUnsettled(run);
     this.endedRuns.add(run.task, run.run);
     this.host.onRunEnded(run, how, sign);
     this.reportLeftIfIdle();
--- a/packages/gate/src/createRun.ts
+++ b/packages/gate/src/createRun.ts
@@ -38,6 +38,7 @@
     lastProgressAt: startsAt,
     startToken: 0,
     wasStarted: false,
+    pendingStarts: 0,
     wasListed: false,
     isSuspect,
     hasFailedElsewhere,
--- a/packages/gate/src/run.ts
+++ b/packages/gate/src/run.ts
@@ -31,6 +31,11 @@
   unansweredAt?: number;
   /** True once the worker has accepted the start of the run or listed the run. */
   wasStarted: boolean;
+  /**
+   * Number of start commands that have neither been answered nor shown in effect by a list. The worker, or its
+   * next incarnation, may still carry them out.
+   */
+  pendingStarts: number;
   /** True once the worker has listed the run as running. */
   wasListed: boolean;
   /** A worker crashed just after it had started the task. */
--- a/packages/gate/tests/SlownessEstimate.test.ts
+++ b/packages/gate/tests/SlownessEstimate.test.ts
@@ -18,6 +18,7 @@
   route: 'claims',
   isSuspect: false,
   hasFailedElsewhere: false,
+  pendingStarts: 0,
   wasStarted: true,
   isWanted: true,
   startToken: 0,
--- a/packages/gate/tests/findStalledRuns.test.ts
+++ b/packages/gate/tests/findStalledRuns.test.ts
@@ -20,6 +20,7 @@
   route: 'claims',
   isSuspect: false,
   hasFailedElsewhere: false,
+  pendingStarts: 0,
   wasStarted: true,
   isWanted: true,
   startToken: 0,
--- a/packages/proofs/tests/checkDispatchGuarantees.test.ts
+++ b/packages/proofs/tests/checkDispatchGuarantees.test.ts
@@ -74,6 +74,13 @@
     expect(findViolatedRules([...crashes, run(60, 70, 'done', 'w6')], [])).toEqual(['crashBudget']);
   });
 
+  it('does not count workers that left as crashes under their tasks', () => {
+    const ends = [1, 2, 3, 4, 5, 6].map((n) => run(10 * n, 10 * n + 5, 'left', `w${n}`));
+    expect(findViolatedRules(ends, [])).toEqual([]);
+    const failed = answer({ type: 'failed', reason: 'crashes' }, 80);
+    expect(findViolatedRules(ends, [failed])).toEqual(['falseFailure']);
+  });
+
   it('reports a start on a worker that leaves', () => {
     expect(findViolatedRules([{ ...run(0, 10, 'done'), isStartedWhileLeaving: true }], [])).toEqual(
       ['leaving'],
--- a/packages/protocol/src/dispatchMessages.ts
+++ b/packages/protocol/src/dispatchMessages.ts
@@ -78,6 +78,12 @@
   ),
 });
 
+/**
+ * Tasks of which a start got no answer, as pairs of job and task index. The worker, or its next incarnation,
+ * may still carry that start out, so that the task may be started on no other worker.
+ */
+export const unsettledTasksSchema = z.array(z.tuple([z.string(), count]));
+
 /** Routing rule: which requests it matches and how their jobs run. */
 export const routeSchema = z.object({
   name: z.string(),
@@ -138,6 +144,8 @@
       view: workerViewSchema,
       /** Recent crashes of the agent's workers. */
       crashes: z.array(workerCrashSchema).default([]),
+      /** Tasks of recent starts without an answer. */
+      unsettled: unsettledTasksSchema.default([]),
       /** Reading of the agent's clock, which the entry sends back as `echo` of `assign`. */
       clock: z.number(),
     }),
@@ -200,6 +208,8 @@
    * of its runs are reported by themselves, once they are certain.
    */
   crash: { params: workerCrashSchema, result: z.object({}) },
+  /** Agent to entry: starts of tasks have got no answer. Sent to all entries, which may have the same job. */
+  unsettled: { params: z.object({ unsettled: unsettledTasksSchema }), result: z.object({}) },
   /** Agent to entry: the worker's state or its free resources have changed. */
   view: { params: workerViewSchema, result: z.object({}) },
   /**
@@ -224,6 +234,8 @@
 export type RunEnd = z.infer<typeof runEndSchema>;
 /** Inferred from {@link workerCrashSchema}. */
 export type WorkerCrash = z.infer<typeof workerCrashSchema>;
+/** Inferred from {@link unsettledTasksSchema}. */
+export type UnsettledTasks = z.infer<typeof unsettledTasksSchema>;
 /** Inferred from {@link routeSchema}. */
 export type Route = z.infer<typeof routeSchema>;
 /** Inferred from {@link operatorStateSchema}. */
