Fix: a task that was assigned just before its agent was lost starts on no other worker

Cause: the runs of a lost agent count as over after 1.2 s. That bounds what the present incarnation of the worker runs; a start that had no answer when the agent was killed or cut off may be carried out by the next one, and the agent could not tell its entry. Change: the tasks that were assigned up to START_SETTLED_MS before the loss are bound to the worker of that agent. It is the time in which an agent that is not lost has told of a start without an answer: 150 ms for the start, 200 ms for the list, 510 ms until a silent connection is noticed. `runs_lapsing` says how many.

--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -12,6 +12,7 @@
   MAX_POLL_AGE_MS,
   RESERVED_TASKS,
   RUN_EXPIRY_MS,
+  START_SETTLED_MS,
 } from './constants';
 import type { CrashRecords } from './CrashRecords';
 import { createRoomFinder } from './createRoomFinder';
@@ -168,14 +169,18 @@
 
   /**
    * Handles the loss of the connection to an agent: the tasks that run there are queued again once
-   * their runs have certainly ended.
+   * their runs have certainly ended. Those that were assigned just before may start only there.
    *
    * @param agent - name of the agent
    */
   handleAgentLoss(agent: string): void {
     const runs = this.runs.detachAll(agent);
     if (runs.length === 0) return;
-    this.host.log.warn({ agent, runs: runs.length, lapseMs: RUN_EXPIRY_MS }, 'runs_lapsing');
+    const unsettled = this.bindUnsettled(agent, runs);
+    this.host.log.warn(
+      { agent, runs: runs.length, unsettled, lapseMs: RUN_EXPIRY_MS },
+      'runs_lapsing',
+    );
     // The worker may crash unseen while its agent is lost.
     const wantedRuns = runs.filter(({ job }) => job.isOpen);
     wantedRuns.forEach(({ job, index, incarnation }) => {
@@ -185,6 +190,14 @@
     setTimeout(() => runs.forEach((run) => this.expireRun(agent, run)), RUN_EXPIRY_MS);
   }
 
+  /** Binds the tasks of which a lost agent may have sent a start without an answer. Returns their number. */
+  private bindUnsettled(agent: string, runs: readonly OutstandingRun[]): number {
+    const oldestUnsettled = performance.now() - START_SETTLED_MS;
+    const unsettled = runs.filter(({ assignedAt }) => assignedAt >= oldestUnsettled);
+    unsettled.forEach(({ job, index }) => this.boundTasks.bind(job.id, index, agent));
+    return unsettled.length;
+  }
+
   /** Stops dispatching. */
   halt(): void {
     clearTimeout(this.passTimer);
@@ -367,7 +380,10 @@
     if (!connection) return;
     const runs = indexes.map((index): [number, number] => [index, job.assign(index, agent)]);
     const incarnation = connection.view?.incarnation ?? '';
-    runs.forEach(([index, run]) => this.runs.add(agent, { job, index, run, incarnation }));
+    const assignedAt = performance.now();
+    runs.forEach(([index, run]) =>
+      this.runs.add(agent, { job, index, run, incarnation, assignedAt }),
+    );
     void this.sendAssignment(job, connection, runs, traits);
   }
 
--- a/packages/dispatch/src/OutstandingRuns.ts
+++ b/packages/dispatch/src/OutstandingRuns.ts
@@ -7,6 +7,8 @@
   run: number;
   /** The incarnation of the agent's worker when the run was assigned. */
   incarnation: string;
+  /** Monotonic time of the assignment, in milliseconds. */
+  assignedAt: number;
 };
 
 const keyOf = (jobId: string, index: number): string => `${jobId}#${index}`;
--- a/packages/proofs/tests/twice.test.ts
+++ b/packages/proofs/tests/twice.test.ts
@@ -210,6 +210,36 @@
       },
     );
 
+    // The entry cannot hear which of its last starts had no answer.
+    it.each(['killed', 'cut off'])(
+      'when starts whose agent is then %s are carried out by the next incarnation of its worker',
+      async (how) => {
+        const simulation = await createSimulation(seed, 1, 2);
+        const [worker] = simulation.workers;
+        if (!worker) return;
+        worker.lateDelaysMs = [2_000, 2_000];
+        worker.lateShares = { start: 1 };
+        void simulation.send(createSentJob('a', 8, 3_000), 0);
+        await jest.advanceTimersByTimeAsync(100);
+        worker.lateShares = {};
+        const cut = (isCut: boolean) => {
+          simulation.network.cut('entry-0', 'agent-0', isCut);
+          simulation.network.cut('agent-0', 'entry-0', isCut);
+        };
+        if (how === 'killed') simulation.killAgent(0);
+        else cut(true);
+        await jest.advanceTimersByTimeAsync(1_895);
+        worker.restart();
+        await jest.advanceTimersByTimeAsync(2_000);
+        if (how === 'killed') simulation.startAgent(0);
+        else cut(false);
+        await jest.advanceTimersByTimeAsync(8_000);
+        simulation.halt();
+        expect(checkDispatchGuarantees(simulation)).toEqual([]);
+        expect(simulation.runs.length).toBeGreaterThan(7);
+      },
+    );
+
     it.each([1_000, 2_000, 3_000])(
       'when an agent resumes after %i ms beside a killed entry and few commands are late',
       async (forMs) => {
