A start without an answer is sent again to the same worker, with its number and a higher token

What callers saw: a start without an answer was ended as not run, and its task came back to the entry for another round, as a run with a higher number on the same worker. Cause and risk: two starts of one task with different numbers could be on their way to the next incarnation of the worker at once. Change: once a list with the higher token does not show the run, the agent sends the same start again, as long as the run is wanted, its worker takes tasks and the task is not suspected to crash workers; otherwise the entry decides, as before. A repeated start keeps the task bound: a list cannot tell which of the starts took effect. Evidence: WorkerSession.test, 'sends a start without an answer again with the same run number and a higher token'.

--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -208,6 +208,7 @@
     const host = {
       worker: this.options.worker,
       mayStart: (run: Run) => this.mayStart(run),
+      mayRepeatStart: (run: Run) => this.mayRepeatStart(run),
       onRunEnded: (run: Run, how: RunEnd, sign: EndSign) => this.handleRunEnd(run, how, sign),
       onEndContradicted: () => this.options.meter.endContradicted(),
       unsettledStarts: this.unsettledStarts,
@@ -334,10 +335,7 @@
     const ownerId = this.connections.idOf(link);
     const startDelayMs = this.startDelayFor(assignment);
     admitted.forEach(([index, run]) =>
-      this.session?.startRun(
-        createRun(assignment, index, run, ownerId, startDelayMs),
-        assignment.spec,
-      ),
+      this.session?.startRun(createRun(assignment, index, run, ownerId, startDelayMs)),
     );
     const declined = assignment.runs.length - admitted.length;
     if (assignment.isSuspect && admitted.length > 0) this.scheduleRecovery();
@@ -393,9 +391,17 @@
 
   /** Tells whether a run that has waited may still start: what it was admitted on may have changed. */
   private mayStart({ startBy }: Run): boolean {
-    const { clock, dataCenter } = this.options;
-    const isDataCenterOut = this.rules.outDataCenters.includes(dataCenter);
-    return !this.unavailableReason && !isDataCenterOut && clock() <= startBy;
+    return this.isOpenForStarts && this.options.clock() <= startBy;
+  }
+
+  /** The owner of a run is heard from while the run is wanted, so that its age does not matter. */
+  private mayRepeatStart({ isSuspect }: Run): boolean {
+    return this.isOpenForStarts && !isSuspect;
+  }
+
+  private get isOpenForStarts(): boolean {
+    const isDataCenterOut = this.rules.outDataCenters.includes(this.options.dataCenter);
+    return !this.unavailableReason && !isDataCenterOut;
   }
 
   private isTaskRunning({ job, occurrence, step }: Assignment, index: number): boolean {
--- a/packages/gate/src/WorkerSession.ts
+++ b/packages/gate/src/WorkerSession.ts
@@ -188,12 +188,11 @@
    * names. The caller has checked that the run fits.
    *
    * @param run - the run
-   * @param spec - specification of the task, passed to the worker
    */
-  startRun(run: Run, spec: string): void {
+  startRun(run: Run): void {
     this.track(run);
-    if (run.state !== 'waiting') void this.sendStart(run, spec);
-    else setTimeout(() => this.startWaiting(run, spec), run.startsAt - performance.now());
+    if (run.state !== 'waiting') void this.sendStart(run);
+    else setTimeout(() => this.startWaiting(run), run.startsAt - performance.now());
   }
 
   /**
@@ -302,7 +301,7 @@
     if (clock !== undefined) this.lease.syncClock(clock);
   }
 
-  private startWaiting(run: Run, spec: string): void {
+  private startWaiting(run: Run): void {
     if (!this.isTracked(run)) return;
     if (!this.host.mayStart(run)) {
       this.stop(run);
@@ -312,12 +311,13 @@
     // The timer may be late, and the age of the run counts from its start.
     run.startsAt = performance.now();
     run.lastProgressAt = run.startsAt;
-    void this.sendStart(run, spec);
+    void this.sendStart(run);
   }
 
-  private async sendStart(run: Run, spec: string): Promise<void> {
-    const { task } = run;
+  private async sendStart(run: Run): Promise<void> {
+    const { task, spec } = run;
     run.startToken = this.token;
+    run.starts += 1;
     run.pendingStarts += 1;
     const answer = await this.host.worker.start({
       ...this.commandBase,
@@ -361,12 +361,15 @@
    * token tells: the worker refuses the start afterwards.
    */
   private async settleUnansweredStart(run: Run): Promise<void> {
-    run.unansweredAt = performance.now();
+    const unansweredAt = performance.now();
+    run.unansweredAt = unansweredAt;
+    const isUnsettled = () =>
+      this.isTracked(run) && run.state === 'starting' && run.unansweredAt === unansweredAt;
     this.raiseToken();
-    while (this.isTracked(run) && run.state === 'starting') {
+    while (isUnsettled()) {
       await this.fetchRunList();
       if (this.isTracked(run)) this.recordIfUnsettled(run);
-      if (this.isTracked(run) && run.state === 'starting') await sleep(RETRY_PAUSE_MS);
+      if (isUnsettled()) await sleep(RETRY_PAUSE_MS);
     }
     if (this.isTracked(run) && run.state === 'stopping') await this.stopUntilConfirmed(run);
   }
@@ -382,12 +385,28 @@
     this.highestSentToken = Math.max(this.highestSentToken, this.token);
   }
 
-  /** Ends the runs that a list does not show and whose starts the worker refuses since it was requested. */
-  private endFencedRuns(list: RunList, token: number): void {
+  /** Handles the runs that a list does not show and whose starts the worker refuses since it was requested. */
+  private settleFencedRuns(list: RunList, token: number): void {
     this.sentRuns
       .filter((run) => !run.wasStarted && run.unansweredAt !== undefined)
       .filter((run) => run.startToken < token && isAbsent(run, list))
-      .forEach((run) => this.removeRun(run, 'notRun', 'fenced'));
+      .forEach((run) => {
+        const isStarting = run.state === 'starting' && run.isWanted;
+        if (isStarting && this.host.mayRepeatStart(run)) this.repeatStart(run);
+        else this.removeRun(run, 'notRun', 'fenced');
+      });
+  }
+
+  /**
+   * Sends the start of a run again, with a higher token. It keeps its number: a worker that carries out the
+   * earlier start too, in whatever incarnation, has the run already.
+   */
+  private repeatStart(run: Run): void {
+    run.unansweredAt = undefined;
+    run.startsAt = performance.now();
+    run.lastProgressAt = run.startsAt;
+    this.host.log.info({ task: taskKey(run.task), run: run.run }, 'start_repeated');
+    void this.sendStart(run);
   }
 
   /**
@@ -505,7 +524,7 @@
         list.ended.forEach((end) => this.recordEnd(end.number, end.task, end.run, end.how));
         this.findContradictedEnds(list.running, requestedAt);
         this.reconcileRunning(list.running, requestedAt);
-        this.endFencedRuns(list, command.token);
+        this.settleFencedRuns(list, command.token);
         if (wasUnresponsive) this.host.onChanged();
         return list;
       })
@@ -571,11 +590,14 @@
     this.removeRun(known, how === 'stopped' ? known.endIfStopped : how, 'listed');
   }
 
-  /** A run that is listed was started: its start is no longer on its way. */
+  /** A run that is listed was started: its start, if only one was sent, is no longer on its way. */
   private settleListedStarts({ running, ended, born }: RunList): void {
     [...running, ...ended].forEach(({ task, run }) => {
       const known = this.find(task);
-      if (known?.run === run) known.pendingStarts = 0;
+      if (known?.run === run) {
+        if (known.starts > 1) return;
+        known.pendingStarts = 0;
+      }
       const start = this.host.unsettledStarts.take(task, run);
       if (start) this.host.onStartedLate(start, born);
     });
--- a/packages/gate/src/createRun.ts
+++ b/packages/gate/src/createRun.ts
@@ -19,7 +19,7 @@
   ownerId: string,
   startDelayMs: number,
 ): Run => {
-  const { job, occurrence, step, route, needs, estimateMs } = assignment;
+  const { job, occurrence, step, route, spec, needs, estimateMs } = assignment;
   const { bestSlowness, isSuspect, hasFailedElsewhere, echo, heldMs } = assignment;
   const startsAt = performance.now() + startDelayMs;
   return {
@@ -27,6 +27,7 @@
     run,
     ownerId,
     route,
+    spec,
     needs,
     estimateMs,
     bestSlowness,
@@ -38,6 +39,7 @@
     lastProgressAt: startsAt,
     startToken: 0,
     wasStarted: false,
+    starts: 0,
     pendingStarts: 0,
     wasListed: false,
     isSuspect,
--- a/packages/gate/src/run.ts
+++ b/packages/gate/src/run.ts
@@ -9,6 +9,8 @@
   ownerId: string;
   /** Name of the job's route. */
   route: string;
+  /** Specification of the task, passed to the worker. */
+  spec: string;
   needs: Resources;
   /** The client's estimate of the run time, in milliseconds. */
   estimateMs: number;
@@ -31,6 +33,8 @@
   unansweredAt?: number;
   /** True once the worker has accepted the start of the run or listed the run. */
   wasStarted: boolean;
+  /** Number of start commands that were sent for the run. */
+  starts: number;
   /**
    * Number of start commands that have neither been answered nor shown in effect by a list. The worker, or its
    * next incarnation, may still carry them out.
--- a/packages/gate/src/workerSessionHost.ts
+++ b/packages/gate/src/workerSessionHost.ts
@@ -17,6 +17,8 @@
   worker: WorkerClient;
   /** Tells whether a run that has waited for its start may still start. */
   mayStart: (run: Run) => boolean;
+  /** Tells whether the start of a run that got no answer may be sent again. */
+  mayRepeatStart: (run: Run) => boolean;
   onRunEnded: (run: Run, how: RunEnd, sign: EndSign) => void;
   /** Called when the worker lists a run as running whose end has been reported before. */
   onEndContradicted: () => void;
--- a/packages/gate/tests/GateAgent.test.ts
+++ b/packages/gate/tests/GateAgent.test.ts
@@ -310,6 +310,8 @@
     await jest.advanceTimersByTimeAsync(10);
     await entries[0]?.entryLink.call('assign', { ...assignment, echo: performance.now() });
     await jest.advanceTimersByTimeAsync(50);
+    entries[0]?.entryLink.notify('abandon', { jobs: [assignment.job] });
+    await jest.advanceTimersByTimeAsync(50);
     expect(entries[0]?.calls).toEqual(['unsettled [["a",0]]', 'ended']);
     expect(entries[1]?.calls).toEqual(['unsettled [["a",0]]']);
     const later = await attach(agent, 'third');
--- a/packages/gate/tests/SlownessEstimate.test.ts
+++ b/packages/gate/tests/SlownessEstimate.test.ts
@@ -18,6 +18,8 @@
   route: 'claims',
   isSuspect: false,
   hasFailedElsewhere: false,
+  spec: '',
+  starts: 0,
   pendingStarts: 0,
   wasStarted: true,
   isWanted: true,
--- a/packages/gate/tests/WorkerSession.test.ts
+++ b/packages/gate/tests/WorkerSession.test.ts
@@ -58,6 +58,8 @@
   isSuspect: false,
   hasFailedElsewhere: false,
   wasStarted: false,
+  spec: '',
+  starts: 0,
   pendingStarts: 0,
   isWanted: true,
   startToken: 0,
@@ -79,6 +81,7 @@
     isHoldUnanswered: false,
     hasUnreadableRows: false,
     mayStart: true,
+    mayRepeatStart: false,
   };
   const refused = { ...noAnswer, wasRefused: true };
   const list = (): HoldResult => ({
@@ -112,6 +115,7 @@
       },
     },
     mayStart: () => fixture.mayStart,
+    mayRepeatStart: () => fixture.mayRepeatStart,
     onRunEnded: (_, how) => fixture.ends.push(how),
     onEndContradicted: jest.fn(),
     unsettledStarts: UnsettledStarts.create(jest.fn()),
@@ -149,7 +153,7 @@
     await advance(20);
     fixture.startAnswer = noAnswer;
     fixture.isHoldUnanswered = true;
-    fixture.session.startRun(createRun(0), '');
+    fixture.session.startRun(createRun(0));
     await advance(60);
     expect(fixture.ends).toEqual([]);
     expect(fixture.session.free.cpu).toBe(3_000);
@@ -169,7 +173,7 @@
     fixture.startAnswer = noAnswer;
     const run = createRun(0);
     fixture.isHoldUnanswered = true;
-    fixture.session.startRun(run, '');
+    fixture.session.startRun(run);
     await advance(60);
     fixture.isHoldUnanswered = false;
     fixture.running = [{ task: run.task, run: 1, percent: 10 }];
@@ -180,12 +184,32 @@
     fixture.session.end();
   });
 
+  // Guards against two runs of a task: a worker that carries out both starts has one run, since they name the same.
+  it('sends a start without an answer again with the same run number and a higher token', async () => {
+    const fixture = createFixture();
+    await advance(20);
+    fixture.startAnswer = noAnswer;
+    fixture.mayRepeatStart = true;
+    const run = createRun(0);
+    fixture.session.startRun(run);
+    await advance(2);
+    fixture.startAnswer = accepted;
+    await advance(60);
+    expect(fixture.starts.map((start) => start.run)).toEqual([1, 1]);
+    expect(fixture.starts[1]?.token).toBeGreaterThan(fixture.starts[0]?.token ?? Infinity);
+    fixture.running = [{ task: run.task, run: 1, percent: 10 }];
+    await advance(60);
+    expect(run).toMatchObject({ state: 'running', pendingStarts: 1 });
+    expect(fixture.host.unsettledStarts.tasks).toEqual([['a', 0]]);
+    fixture.session.end();
+  });
+
   it('takes no start for fenced by a list with a row that cannot be read', async () => {
     const fixture = createFixture();
     await advance(20);
     fixture.startAnswer = noAnswer;
     fixture.hasUnreadableRows = true;
-    fixture.session.startRun(createRun(0), '');
+    fixture.session.startRun(createRun(0));
     await advance(100);
     expect(fixture.ends).toEqual([]);
     fixture.hasUnreadableRows = false;
@@ -209,7 +233,7 @@
   it('replaces no session by an answer that comes after its own end', async () => {
     const fixture = createFixture();
     await advance(20);
-    fixture.session.startRun(createRun(0), '');
+    fixture.session.startRun(createRun(0));
     await advance(5);
     fixture.stopAnswer = { type: 'refused', reason: 'otherLife' };
     fixture.session.abandon(fixture.session.find(createRun(0).task) as Run);
@@ -223,7 +247,7 @@
     await advance(20);
     fixture.startAnswer = noAnswer;
     fixture.running = [{ task: createRun(0).task, run: 1, percent: 1 }];
-    fixture.session.startRun(createRun(0), '');
+    fixture.session.startRun(createRun(0));
     await advance(100);
     expect(fixture.stops).toEqual([]);
     fixture.running = [];
@@ -239,7 +263,7 @@
     const run = createRun(0);
     fixture.startAnswer = noAnswer;
     fixture.isHoldUnanswered = true;
-    fixture.session.startRun(run, '');
+    fixture.session.startRun(run);
     await advance(60);
     fixture.running = [{ task: run.task, run: 1, percent: 1 }];
     fixture.session.abandon(run);
@@ -254,8 +278,8 @@
     const fixture = createFixture();
     await advance(20);
     fixture.startAnswer = { ...noAnswer, wasRefused: true };
-    fixture.session.startRun(createRun(0), '');
-    fixture.session.startRun(createRun(1), '');
+    fixture.session.startRun(createRun(0));
+    fixture.session.startRun(createRun(1));
     await advance(2);
     expect(fixture.ends).toEqual(['notRun', 'notRun']);
     expect(fixture.host.onCrashed).toHaveBeenCalledWith([]);
@@ -277,10 +301,10 @@
   it('keeps the runs of a worker that refuses connections until their lease has certainly ended', async () => {
     const fixture = createFixture();
     await advance(20);
-    fixture.session.startRun(createRun(0), '');
+    fixture.session.startRun(createRun(0));
     await advance(2);
     fixture.startAnswer = noAnswer;
-    fixture.session.startRun(createRun(1), '');
+    fixture.session.startRun(createRun(1));
     await advance(1);
     fixture.isRefusing = true;
     await advance(LEASE_MS);
@@ -303,7 +327,7 @@
     const fixture = createFixture();
     await advance(20);
     const run: Run = { ...createRun(0), startsAt: performance.now() + 50, state: 'waiting' };
-    fixture.session.startRun(run, '');
+    fixture.session.startRun(run);
     await advance(20);
     expect(fixture.session.free.cpu).toBe(3_000);
     interrupt(fixture, run);
@@ -317,7 +341,7 @@
     const fixture = createFixture();
     await advance(20);
     const run: Run = { ...createRun(0), startsAt: performance.now() + 50, state: 'waiting' };
-    fixture.session.startRun(run, '');
+    fixture.session.startRun(run);
     await advance(49);
     expect(fixture.starts).toHaveLength(0);
     await advance(1);
@@ -329,7 +353,7 @@
     const fixture = createFixture();
     await advance(20);
     const run: Run = { ...createRun(0), startsAt: performance.now() - 40, state: 'waiting' };
-    fixture.session.startRun(run, '');
+    fixture.session.startRun(run);
     await advance(5);
     expect(fixture.starts).toHaveLength(1);
     expect(performance.now() - run.startsAt).toBeLessThanOrEqual(5);
@@ -352,7 +376,7 @@
     const fixture = createFixture();
     await advance(20);
     const run = createRun(0);
-    fixture.session.startRun(run, '');
+    fixture.session.startRun(run);
     await advance(5);
     fixture.running = [{ task: run.task, run: 1, percent: 1 }];
     fixture.session.stop(run);
@@ -373,7 +397,7 @@
     const fixture = createFixture();
     await advance(20);
     const runs = [createRun(0), createRun(1)];
-    runs.forEach((run) => fixture.session.startRun(run, ''));
+    runs.forEach((run) => fixture.session.startRun(run));
     fixture.running = runs.map(({ task }) => ({ task, run: 1, percent: 1 }));
     await advance(50);
     fixture.stopAnswer = noAnswer;
@@ -382,7 +406,7 @@
     const endBefore = Math.max(...ends());
     fixture.session.abandon(runs[0] as Run);
     await advance(100);
-    fixture.session.startRun(createRun(2), '');
+    fixture.session.startRun(createRun(2));
     expect(fixture.session.unavailableReason).toBe('');
     await advance(250);
     expect(fixture.session.unavailableReason).toBe('run not stopped');
@@ -399,7 +423,7 @@
   it('stops a run that is listed although its end has been reported before', async () => {
     const fixture = createFixture();
     await advance(20);
-    fixture.session.startRun(createRun(0), '');
+    fixture.session.startRun(createRun(0));
     await advance(5);
     fixture.isHoldUnanswered = true;
     await advance(1_000);
@@ -416,10 +440,10 @@
   it('reports only listed runs as lapsed when the session ends, and passes on the others', async () => {
     const fixture = createFixture();
     await advance(20);
-    fixture.session.startRun(createRun(0), '');
+    fixture.session.startRun(createRun(0));
     fixture.running = [{ task: createRun(0).task, run: 1, percent: 1 }];
     await advance(200);
-    fixture.session.startRun(createRun(1), '');
+    fixture.session.startRun(createRun(1));
     await advance(1);
     const { unconfirmed, token } = fixture.session.end();
     expect(fixture.ends).toEqual(['lapsed']);
@@ -494,7 +518,7 @@
     const fixture = createFixture();
     await advance(100);
     fixture.holds.length = 0;
-    fixture.session.startRun(createRun(0), 'spec');
+    fixture.session.startRun(createRun(0));
     await advance(1_000);
     const renewals = fixture.holds.filter(({ leaseUntil }) => leaseUntil !== undefined);
     const extraRenewals = renewals.filter(({ waitMs }) => waitMs === 0);
--- a/packages/gate/tests/findStalledRuns.test.ts
+++ b/packages/gate/tests/findStalledRuns.test.ts
@@ -20,6 +20,8 @@
   route: 'claims',
   isSuspect: false,
   hasFailedElsewhere: false,
+  spec: '',
+  starts: 0,
   pendingStarts: 0,
   wasStarted: true,
   isWanted: true,
