Fix: a command that waited for a connection until its time was over counts as not sent

What callers saw: nothing by itself; a start that was never written counted as a start without an answer, so that its task waited for a list and, since, stays bound to that worker. Cause: an agent has six connections to its worker, of which a hold may occupy one for 1.2 s and a late command 150 ms. A call that finds none is not sent after its timeout (createJsonCall aborts it before the request is written), but its error looked like that of a call without a response.

--- a/packages/gate/src/WorkerClient.ts
+++ b/packages/gate/src/WorkerClient.ts
@@ -70,6 +70,8 @@
       detail: string;
       /** Nothing accepts connections at the worker's address. */
       wasRefused: boolean;
+      /** False when nothing of the command was sent, so that it is certainly not carried out. */
+      wasSent: boolean;
     };
 
 /** Answer to a {@link HoldCommand}. */
--- a/packages/gate/src/WorkerSession.ts
+++ b/packages/gate/src/WorkerSession.ts
@@ -326,7 +326,7 @@
       spec,
       leaseUntil: this.isLeaseWithheld ? this.lease.end : this.lease.extend(),
     });
-    const wasSettled = answer.type !== 'noAnswer' || answer.wasRefused;
+    const wasSettled = answer.type !== 'noAnswer' || !answer.wasSent;
     if (wasSettled) run.pendingStarts = Math.max(0, run.pendingStarts - 1);
     if (!this.isTracked(run)) return;
     match(answer)
@@ -346,12 +346,11 @@
           this.removeRun(run, 'notRun', 'startRefused');
         }
       })
-      .with({ type: 'noAnswer' }, ({ detail, wasRefused }) => {
+      .with({ type: 'noAnswer' }, ({ detail, wasRefused, wasSent }) => {
         this.host.log.warn({ task: taskKey(task), run: run.run, detail }, 'start_unanswered');
-        // Without a connection the command was not sent.
-        if (wasRefused) this.removeRun(run, 'notRun', 'notSent');
+        if (!wasSent) this.removeRun(run, 'notRun', 'notSent');
         this.recordUnanswered('start', detail, wasRefused);
-        if (!wasRefused) void this.settleUnansweredStart(run);
+        if (wasSent) void this.settleUnansweredStart(run);
       })
       .exhaustive();
   }
--- a/packages/gate/tests/GateAgent.test.ts
+++ b/packages/gate/tests/GateAgent.test.ts
@@ -303,7 +303,8 @@
     const client = createWorkerClient(() => true);
     const agent = createAgent({
       ...client,
-      start: () => Promise.resolve({ type: 'noAnswer', detail: 'late', wasRefused: false }),
+      start: () =>
+        Promise.resolve({ type: 'noAnswer', detail: 'late', wasRefused: false, wasSent: true }),
     });
     agent.handleReport(report);
     const entries = [await attach(agent, 'first'), await attach(agent, 'second')];
--- a/packages/gate/tests/WorkerSession.test.ts
+++ b/packages/gate/tests/WorkerSession.test.ts
@@ -26,6 +26,7 @@
   type: 'noAnswer',
   detail: 'silent',
   wasRefused: false,
+  wasSent: true,
 };
 
 const report: WorkerReport = {
@@ -83,7 +84,7 @@
     mayStart: true,
     mayRepeatStart: false,
   };
-  const refused = { ...noAnswer, wasRefused: true };
+  const refused = { ...noAnswer, wasRefused: true, wasSent: false };
   const list = (): HoldResult => ({
     type: 'list',
     list: {
@@ -204,6 +205,18 @@
     fixture.session.end();
   });
 
+  // A task whose start may be on its way is bound to its worker; this start is not.
+  it('ends a run at once whose start waited for a connection until its time was over', async () => {
+    const fixture = createFixture();
+    await advance(20);
+    fixture.startAnswer = { ...noAnswer, wasSent: false };
+    fixture.session.startRun(createRun(0));
+    await advance(1);
+    expect(fixture.ends).toEqual(['notRun']);
+    expect(fixture.host.unsettledStarts.tasks).toEqual([]);
+    fixture.session.end();
+  });
+
   it('takes no start for fenced by a list with a row that cannot be read', async () => {
     const fixture = createFixture();
     await advance(20);
@@ -277,7 +290,7 @@
   it('queues a run again at once when its start was refused, and does not count it as lost', async () => {
     const fixture = createFixture();
     await advance(20);
-    fixture.startAnswer = { ...noAnswer, wasRefused: true };
+    fixture.startAnswer = { ...noAnswer, wasRefused: true, wasSent: false };
     fixture.session.startRun(createRun(0));
     fixture.session.startRun(createRun(1));
     await advance(2);
--- a/packages/proofs/tests/support/MemoryWorker.ts
+++ b/packages/proofs/tests/support/MemoryWorker.ts
@@ -281,7 +281,8 @@
       command: () => T,
     ): Promise<T | NoAnswer> => {
       // A killed agent sends no commands.
-      if (!sender.isAlive()) return { type: 'noAnswer', detail: 'agent dead', wasRefused: false };
+      if (!sender.isAlive())
+        return { type: 'noAnswer', detail: 'agent dead', wasRefused: false, wasSent: true };
       const { commandFault } = this;
       const isDelayed = commandFault === 'delayed' && kind !== 'hold';
       const isLate = commandFault === 'late' || isDelayed;
@@ -290,16 +291,16 @@
         this.executeLater(command, commandFault === 'late' ? LATE_DELAY_MS : SHORT_DELAY_MS);
       await sleep(EXECUTION_DELAY_MS);
       if (commandFault === 'refusing' || (this.isDown && !this.isCrashSilent)) {
-        return { type: 'noAnswer', detail: 'refused', wasRefused: true };
+        return { type: 'noAnswer', detail: 'refused', wasRefused: true, wasSent: false };
       }
       const isSilent = this.isDown || isLate || commandFault === 'silent';
       const answer: T | undefined = isSilent ? undefined : command();
       if (this.isDown && !this.isCrashSilent)
-        return { type: 'noAnswer', detail: 'closed', wasRefused: false };
+        return { type: 'noAnswer', detail: 'closed', wasRefused: false, wasSent: true };
       if (answer && !this.isDown && commandFault !== 'answerLost' && sender.isAlive())
         return answer;
       await sleep(COMMAND_TIMEOUT_MS);
-      return { type: 'noAnswer', detail: commandFault, wasRefused: false };
+      return { type: 'noAnswer', detail: commandFault, wasRefused: false, wasSent: true };
     };
     const sendCommand = async <T extends HoldResult | CommandResult>(
       kind: CommandKind,
@@ -313,13 +314,13 @@
         this.executeLater(command, Math.round(minMs + this.random() * (maxMs - minMs)));
         await sleep(waitMs + COMMAND_TIMEOUT_MS);
         await waitUntilResumed();
-        return { type: 'noAnswer', detail: 'late', wasRefused: false };
+        return { type: 'noAnswer', detail: 'late', wasRefused: false, wasSent: true };
       }
       if (waitMs > 0) {
         await this.waitForEnd(waitMs);
         // A call that is in progress when the worker begins to refuse connections is broken off.
         if (this.commandFault === 'refusing')
-          return { type: 'noAnswer', detail: 'closed', wasRefused: false };
+          return { type: 'noAnswer', detail: 'closed', wasRefused: false, wasSent: true };
       }
       const answer = await executeCommand(kind, command);
       await waitUntilResumed();
