Fix: a job is not refused as not run while the start of an earlier copy of it may be carried out

What callers would see: 503 ("never runs") for a job of which a task then starts. Cause: an entry refused a job of which it had itself started nothing. Since it knows of starts without an answer that another entry, or an earlier copy, has caused; these may be carried out later. Change: such a job counts as committed, when it is submitted and when the entry hears of the start; it is answered with 504 in the end, which says that it may have run. BoundTasks is kept by job. Evidence: Dispatcher.test, 'does not refuse a job of which a start without an answer became known before (after) it was submitted': both fail without the change.

--- a/packages/dispatch/src/BoundTasks.ts
+++ b/packages/dispatch/src/BoundTasks.ts
@@ -1,8 +1,7 @@
 import { BOUND_TASK_RETENTION_MS } from './constants';
 
-type Binding = { agent: string; at: number };
-
-const keyOf = (job: string, index: number): string => `${job}#${index}`;
+/** The bound tasks of one job: names of their agents by task index. */
+type JobBindings = { agents: Map<number, string>; boundAt: number };
 
 /**
  * Tasks that may be started on one worker only, since a start that was sent there has no answer: the worker or
@@ -10,8 +9,8 @@
  * job stay bound when the job is submitted again, also to another entry.
  */
 export class BoundTasks {
-  /** By job and task index, oldest first. */
-  private readonly bindings = new Map<string, Binding>();
+  /** By job, in the order of their last bindings. */
+  private readonly jobs = new Map<string, JobBindings>();
 
   private constructor() {}
 
@@ -29,8 +28,18 @@
    */
   bind(job: string, index: number, agent: string): void {
     this.expire();
-    const key = keyOf(job, index);
-    if (!this.bindings.has(key)) this.bindings.set(key, { agent, at: performance.now() });
+    const agents = this.jobs.get(job)?.agents ?? new Map<number, string>();
+    if (!agents.has(index)) agents.set(index, agent);
+    this.jobs.delete(job);
+    this.jobs.set(job, { agents, boundAt: performance.now() });
+  }
+
+  /**
+   * @param job - identifier of a job
+   * @returns true when a start of one of its tasks may be carried out later
+   */
+  has(job: string): boolean {
+    return this.jobs.has(job);
   }
 
   /**
@@ -39,14 +48,13 @@
    * @returns name of the only agent whose worker may start the task; `undefined` when any may
    */
   agentOf(job: string, index: number): string | undefined {
-    if (this.bindings.size === 0) return undefined;
-    return this.bindings.get(keyOf(job, index))?.agent;
+    return this.jobs.get(job)?.agents.get(index);
   }
 
   private expire(): void {
     const oldestKept = performance.now() - BOUND_TASK_RETENTION_MS;
-    this.bindings.forEach(({ at }, key) => {
-      if (at < oldestKept) this.bindings.delete(key);
-    });
+    for (let [oldest] = this.jobs; oldest && oldest[1].boundAt < oldestKept; [oldest] = this.jobs) {
+      this.jobs.delete(oldest[0]);
+    }
   }
 }
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -110,6 +110,7 @@
    * @param job - the job
    */
   add(job: ActiveJob): void {
+    this.commitIfBound(job);
     this.queue.add(job);
     this.schedulePass();
   }
@@ -165,6 +166,7 @@
    */
   bindTasks(agent: string, tasks: UnsettledTasks): void {
     tasks.forEach(([job, index]) => this.boundTasks.bind(job, index, agent));
+    this.queue.forEach((job) => this.commitIfBound(job));
   }
 
   /**
@@ -190,6 +192,11 @@
     setTimeout(() => runs.forEach((run) => this.expireRun(agent, run)), RUN_EXPIRY_MS);
   }
 
+  /** A job of which a start may be carried out later, also one of another copy, can't be refused as not run. */
+  private commitIfBound(job: ActiveJob): void {
+    if (this.boundTasks.has(job.id)) job.mayHaveRun = true;
+  }
+
   /** Binds the tasks of which a lost agent may have sent a start without an answer. Returns their number. */
   private bindUnsettled(agent: string, runs: readonly OutstandingRun[]): number {
     const oldestUnsettled = performance.now() - START_SETTLED_MS;
--- a/packages/dispatch/tests/BoundTasks.test.ts
+++ b/packages/dispatch/tests/BoundTasks.test.ts
@@ -16,6 +16,7 @@
     tasks.bind('a', 0, 'second');
     expect(tasks.agentOf('a', 0)).toBe('first');
     expect(tasks.agentOf('a', 1)).toBeUndefined();
+    expect([tasks.has('a'), tasks.has('b')]).toEqual([true, false]);
   });
 
   it('forgets a task only after the time in which the start may be carried out', () => {
--- a/packages/dispatch/tests/Dispatcher.test.ts
+++ b/packages/dispatch/tests/Dispatcher.test.ts
@@ -139,6 +139,23 @@
     expect(busy?.assigned.map(({ runs }) => runs)).toEqual([[[1, 1]]]);
   });
 
+  // Guards against a refusal that says that nothing runs while the start of an earlier copy is on its way.
+  it.each(['before', 'after'])(
+    'does not refuse a job of which a start without an answer became known %s it was submitted',
+    async (when) => {
+      const agent = createFakeAgent('a', 1, 0);
+      const dispatcher = createDispatcher([agent.connection]);
+      const job = createTestJob(1, 1_000);
+      if (when === 'before') dispatcher.bindTasks('a', [['a', 0]]);
+      dispatcher.add(job);
+      if (when === 'after') dispatcher.bindTasks('a', [['a', 0]]);
+      await jest.advanceTimersByTimeAsync(8_000);
+      dispatcher.halt();
+      expect(job.isCommitted).toBe(true);
+      expect(job.isOpen).toBe(true);
+    },
+  );
+
   it('does not take the time in which nothing was queued for a wait', async () => {
     const agent = createFakeAgent('a', 1, 0);
     const dispatcher = createDispatcher([agent.connection]);
