Entries probe the connections of their clients, so that a break that only the client saw is found within about a second

Nothing told an entry that its client was gone when the end of the connection did not reach it: it held the job to the deadline, while the client sends it to another entry after 1.3 s.

The kernel now probes after a second without traffic, the shortest that Node.js can set.

Not covered, and not in the tests: a client that does not answer probes at all (11 s with the ten probes of Node.js), a second copy that comes sooner than 1.3 s, and a stop without an answer, after which the run lasts until its lease expires.

--- a/packages/protocol/src/constants.ts
+++ b/packages/protocol/src/constants.ts
@@ -54,3 +54,9 @@
 
 /** Timeout of one control call between processes, in milliseconds. */
 export const CALL_TIMEOUT_MS = 1_500;
+
+/**
+ * Time without traffic after which the kernel probes the connection of a client, in milliseconds. It is the
+ * shortest that Node.js can set, and shorter than the pause before a client sends its job again.
+ */
+export const CLIENT_PROBE_MS = 1_000;
