--- a/packages/dispatch/src/AgentConnection.ts
+++ b/packages/dispatch/src/AgentConnection.ts
@@ -32,7 +32,7 @@
   /** Called when the agent has sent a view of its worker, and after each attach. */
   onChange: (agent: string, view: WorkerView) => void;
   /** Called when an attached connection is lost; the leases of its runs then expire. */
-  onLost: (agent: string) => void;
+  onLost: (agent: string, knowledge: StartKnowledge) => void;
   /** Called with each crash that the agent reports, and after each attach with the recent ones. */
   onCrash: (crash: WorkerCrash) => void;
   /** Called after each attach with the tasks of which a start got no answer there. */
@@ -43,6 +43,16 @@
   log: Log;
 };
 
+/** What an entry knows of the starts at an agent, from the last answer to an assignment or a renewal. */
+export type StartKnowledge = {
+  /** Tasks whose starts had no answer then. */
+  unsettled: UnsettledTasks;
+  /** Monotonic time of the call; what was assigned later is not covered. In milliseconds. */
+  asOf: number;
+};
+
+const NO_KNOWLEDGE: StartKnowledge = { unsettled: [], asOf: -Infinity };
+
 /** An assignment without the clock fields, which the connection adds. */
 export type Assignment = Omit<Params<'assign'>, 'echo' | 'heldMs'>;
 
@@ -64,6 +74,8 @@
   /** Monotonic time of the last assignment or renewal, in milliseconds. */
   private lastContactAt = 0;
 
+  private startKnowledge = NO_KNOWLEDGE;
+
   private renewalTimer: NodeJS.Timeout | undefined;
 
   private renewalDueAt = Infinity;
@@ -169,9 +181,11 @@
     this.scheduleRenewal(RENEW_PERIOD_MS);
     try {
       const { clock: echo, at } = this.clockReading;
-      const params = { ...assignment, echo, heldMs: performance.now() - at };
+      const asOf = performance.now();
+      const params = { ...assignment, echo, heldMs: asOf - at };
       const answer = await link.call('assign', params, AGENT_CALL_TIMEOUT_MS);
       this.clockReading.update(answer.clock);
+      this.startKnowledge = { unsettled: answer.unsettled, asOf };
       this.updateFree(answer.free);
       return answer;
     } catch (error) {
@@ -241,8 +255,10 @@
 
   private async sendRenewal(link: Link): Promise<void> {
     try {
-      const { clock } = await link.call('renew', {}, AGENT_CALL_TIMEOUT_MS);
+      const asOf = performance.now();
+      const { clock, unsettled } = await link.call('renew', {}, AGENT_CALL_TIMEOUT_MS);
       this.clockReading.update(clock);
+      this.startKnowledge = { unsettled, asOf };
     } catch (error) {
       if (link.isOpen) this.logFailure('agent_silent', error);
       link.close();
@@ -295,7 +311,8 @@
     clearTimeout(this.renewalTimer);
     this.renewalDueAt = Infinity;
     this.host.log.warn({ agent: this.name }, 'agent_lost');
-    this.host.onLost(this.name);
+    this.host.onLost(this.name, this.startKnowledge);
+    this.startKnowledge = NO_KNOWLEDGE;
     this.scheduleReconnect();
   }
 
--- a/packages/dispatch/src/BoundTasks.ts
+++ b/packages/dispatch/src/BoundTasks.ts
@@ -1,7 +1,10 @@
 import { BOUND_TASK_RETENTION_MS } from './constants';
 
-/** The bound tasks of one job: names of their agents by task index. */
-type JobBindings = { agents: Map<number, string>; boundAt: number };
+/** A worker to which a task is bound. */
+type Binding = { agent: string; workerId: string };
+
+/** The bound tasks of one job by task index. */
+type JobBindings = { bindings: Map<number, Binding[]>; boundAt: number };
 
 /**
  * Tasks that may be started on one worker only, since a start that was sent there has no answer: the worker or
@@ -20,18 +23,40 @@
   }
 
   /**
-   * Binds a task to the worker of an agent, unless it is bound.
+   * Binds a task to the worker of an agent. Two copies of a job may bind a task to two workers.
    *
    * @param job - identifier of the job
    * @param index - index of the task
    * @param agent - name of the agent
+   * @param workerId - identifier of the worker that may carry out the start
    */
-  bind(job: string, index: number, agent: string): void {
+  bind(job: string, index: number, agent: string, workerId: string): void {
     this.expire();
-    const agents = this.jobs.get(job)?.agents ?? new Map<number, string>();
-    if (!agents.has(index)) agents.set(index, agent);
+    const bindings = this.jobs.get(job)?.bindings ?? new Map<number, Binding[]>();
+    const others = (bindings.get(index) ?? []).filter((binding) => binding.agent !== agent);
+    bindings.set(index, [...others, { agent, workerId }]);
+    // The last one bound is the last of all, since the oldest are removed first.
     this.jobs.delete(job);
-    this.jobs.set(job, { agents, boundAt: performance.now() });
+    this.jobs.set(job, { bindings, boundAt: performance.now() });
+  }
+
+  /**
+   * Releases the tasks that are bound to an earlier worker of an agent. Its present worker has another identifier
+   * and refuses the starts that were sent to the earlier one.
+   *
+   * @param agent - name of the agent
+   * @param workerId - identifier of the present worker
+   */
+  release(agent: string, workerId: string): void {
+    const isKept = (binding: Binding) => binding.agent !== agent || binding.workerId === workerId;
+    this.jobs.forEach(({ bindings }, job) => {
+      bindings.forEach((ofTask, index) => {
+        const kept = ofTask.filter(isKept);
+        if (kept.length > 0) bindings.set(index, kept);
+        else bindings.delete(index);
+      });
+      if (bindings.size === 0) this.jobs.delete(job);
+    });
   }
 
   /**
@@ -45,10 +70,10 @@
   /**
    * @param job - identifier of a job
    * @param index - index of the task
-   * @returns name of the only agent whose worker may start the task; `undefined` when any may
+   * @returns names of the agents to whose workers the task is bound
    */
-  agentOf(job: string, index: number): string | undefined {
-    return this.jobs.get(job)?.agents.get(index);
+  agentsOf(job: string, index: number): readonly string[] {
+    return (this.jobs.get(job)?.bindings.get(index) ?? []).map(({ agent }) => agent);
   }
 
   private expire(): void {
--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -473,9 +473,10 @@
       hasRuns: (agentName) => this.dispatcher.hasRuns(agentName),
       onChange: (agentName, view) => {
         if (view.state !== 'closed') this.crashes.handleReturn(agentName, view.incarnation);
+        this.dispatcher.releaseTasks(agentName, view.incarnation);
         this.dispatcher.schedulePass();
       },
-      onLost: (agentName) => this.dispatcher.handleAgentLoss(agentName),
+      onLost: (agentName, knowledge) => this.dispatcher.handleAgentLoss(agentName, knowledge),
       onCrash: (crash) => this.crashes.handleCrash(crash),
       onUnsettled: (agentName, tasks) => this.dispatcher.bindTasks(agentName, tasks),
       onRules: (rules) => {
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -3,7 +3,7 @@
 import type { Params, Route, RunEnd, UnsettledTasks } from '@marjorammast/protocol';
 import type { Log } from '@marjorammast/telemetry';
 import type { ActiveJob } from './ActiveJob';
-import type { AgentConnection, Assignment } from './AgentConnection';
+import type { AgentConnection, Assignment, StartKnowledge } from './AgentConnection';
 import { BoundTasks } from './BoundTasks';
 import {
   DECLINE_PAUSE_MS,
@@ -12,7 +12,6 @@
   MAX_POLL_AGE_MS,
   RESERVED_TASKS,
   RUN_EXPIRY_MS,
-  START_SETTLED_MS,
 } from './constants';
 import type { CrashRecords } from './CrashRecords';
 import { createRoomFinder } from './createRoomFinder';
@@ -28,6 +27,7 @@
 import { QueueEstimate, workOf } from './QueueEstimate';
 import type { RouteConfinement } from './RouteConfinement';
 import { sortWaitingJobs } from './sortWaitingJobs';
+import { workerIdOf } from './workerIdOf';
 import { WorkerRooms } from './WorkerRooms';
 
 /** What the dispatcher needs from its entry. */
@@ -61,6 +61,9 @@
 
   private readonly boundTasks = BoundTasks.create();
 
+  /** Identifiers of the workers of the agents. */
+  private readonly workerIds = new Map<string, string>();
+
   /** How long queued work waits, by service and lateness. */
   private readonly estimates = new Map<string, QueueEstimate>();
 
@@ -162,23 +165,24 @@
    * Binds tasks to the worker of an agent: a start that was sent there has no answer.
    *
    * @param agent - name of the agent
-   * @param tasks - pairs of job and task index
+   * @param tasks - rows of job, task index and identifier of the worker
    */
   bindTasks(agent: string, tasks: UnsettledTasks): void {
-    tasks.forEach(([job, index]) => this.boundTasks.bind(job, index, agent));
+    tasks.forEach(([job, index, workerId]) => this.boundTasks.bind(job, index, agent, workerId));
     this.queue.forEach((job) => this.commitIfBound(job));
   }
 
   /**
    * Handles the loss of the connection to an agent: the tasks that run there are queued again once
-   * their runs have certainly ended. Those that were assigned just before may start only there.
+   * their runs have certainly ended. Those whose starts may have no answer may start only there.
    *
    * @param agent - name of the agent
+   * @param knowledge - what is known of the starts there
    */
-  handleAgentLoss(agent: string): void {
+  handleAgentLoss(agent: string, knowledge: StartKnowledge): void {
     const runs = this.runs.detachAll(agent);
     if (runs.length === 0) return;
-    const unsettled = this.bindUnsettled(agent, runs);
+    const unsettled = this.bindUnsettled(agent, runs, knowledge);
     this.host.log.warn(
       { agent, runs: runs.length, unsettled, lapseMs: RUN_EXPIRY_MS },
       'runs_lapsing',
@@ -192,17 +196,45 @@
     setTimeout(() => runs.forEach((run) => this.expireRun(agent, run)), RUN_EXPIRY_MS);
   }
 
+  /**
+   * Releases the tasks that are bound to an agent whose worker has another identifier now.
+   *
+   * @param agent - name of the agent
+   * @param incarnation - the present incarnation of its worker; empty without a worker
+   */
+  releaseTasks(agent: string, incarnation: string): void {
+    const workerId = workerIdOf(incarnation);
+    if (workerId === '' || this.workerIds.get(agent) === workerId) return;
+    this.workerIds.set(agent, workerId);
+    this.boundTasks.release(agent, workerId);
+  }
+
   /** A job of which a start may be carried out later, also one of another copy, can't be refused as not run. */
   private commitIfBound(job: ActiveJob): void {
     if (this.boundTasks.has(job.id)) job.mayHaveRun = true;
   }
 
   /** Binds the tasks of which a lost agent may have sent a start without an answer. Returns their number. */
-  private bindUnsettled(agent: string, runs: readonly OutstandingRun[]): number {
-    const oldestUnsettled = performance.now() - START_SETTLED_MS;
-    const unsettled = runs.filter(({ assignedAt }) => assignedAt >= oldestUnsettled);
-    unsettled.forEach(({ job, index }) => this.boundTasks.bind(job.id, index, agent));
-    return unsettled.length;
+  private bindUnsettled(
+    agent: string,
+    runs: readonly OutstandingRun[],
+    { unsettled, asOf }: StartKnowledge,
+  ): number {
+    const isNamed = ({ job, index }: OutstandingRun) =>
+      unsettled.some(([id, taskIndex]) => id === job.id && taskIndex === index);
+    const bound = runs.filter((run) => run.assignedAt >= asOf || isNamed(run));
+    bound.forEach(({ job, index, incarnation }) =>
+      this.boundTasks.bind(job.id, index, agent, workerIdOf(incarnation)),
+    );
+    return bound.length;
+  }
+
+  /** Number of waiting tasks that may start on any worker. */
+  private countUnbound(job: ActiveJob): number {
+    const { waitingTasks } = job;
+    if (!this.boundTasks.has(job.id)) return waitingTasks.length;
+    return waitingTasks.filter((index) => this.boundTasks.agentsOf(job.id, index).length === 0)
+      .length;
   }
 
   /** Stops dispatching. */
@@ -246,7 +278,8 @@
       load.hasWorkers ||= rooms.hasWorkersFor(job.step);
       loads.set(estimate, load);
       this.placeJob(job, rooms, load);
-      const waitingWork = workOf(job.step, job.waitingTasks.length);
+      // Bound tasks wait for one worker, which says nothing of the wait for the others.
+      const waitingWork = workOf(job.step, this.countUnbound(job));
       const estimatedWaitMs = estimate.waitMsFor(load.waitingWork, waitingWork);
       this.refuseIfHopeless(job, rooms, estimatedWaitMs);
       if (job.isOpen) load.waitingWork += waitingWork;
@@ -300,8 +333,10 @@
     [RESERVED_TASKS, 0].forEach((reservedTasks) => {
       const groups = groupWaitingTasks(job, {
         isSuspect: (index) => crashRecords.isSuspect(job.id, index),
-        mustWait: (index) => crashRecords.mustWait(job.id, index),
-        boundTo: (index) => this.boundTasks.agentOf(job.id, index),
+        mustWait: (index) =>
+          crashRecords.mustWait(job.id, index) ||
+          this.boundTasks.agentsOf(job.id, index).length > 1,
+        boundTo: (index) => this.boundTasks.agentsOf(job.id, index)[0],
       });
       groups.forEach((group) => {
         const count = group.indexes.length;
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -98,12 +98,6 @@
 /** Time for which crashes under the tasks of a job are remembered, in milliseconds. */
 export const CRASH_RETENTION_MS = 60_000;
 
-/**
- * Time from the assignment of a run after which the entry has heard of it if the start had no answer, in
- * milliseconds. It covers the start, the list of runs after it, and the silence after which a lost agent is noticed.
- */
-export const START_SETTLED_MS = 1_000;
-
 /**
  * Time for which a task stays bound to a worker that has not answered its start, in milliseconds: a worker carries
  * such a command out seconds later, if at all.
--- a/packages/dispatch/tests/BoundTasks.test.ts
+++ b/packages/dispatch/tests/BoundTasks.test.ts
@@ -10,24 +10,40 @@
     jest.useRealTimers();
   });
 
-  it('keeps a task with the first worker that has a start of it without an answer', () => {
+  it('names every worker that has a start of a task without an answer', () => {
     const tasks = BoundTasks.create();
-    tasks.bind('a', 0, 'first');
-    tasks.bind('a', 0, 'second');
-    expect(tasks.agentOf('a', 0)).toBe('first');
-    expect(tasks.agentOf('a', 1)).toBeUndefined();
+    tasks.bind('a', 0, 'first', 'i-1');
+    tasks.bind('a', 0, 'first', 'i-1');
+    expect(tasks.agentsOf('a', 0)).toEqual(['first']);
+    tasks.bind('a', 0, 'second', 'i-1');
+    expect(tasks.agentsOf('a', 0)).toEqual(['first', 'second']);
+    expect(tasks.agentsOf('a', 1)).toEqual([]);
     expect([tasks.has('a'), tasks.has('b')]).toEqual([true, false]);
   });
 
+  // Commands name the id of their worker: under another id it refuses those that were sent before.
+  it('releases the tasks of an agent whose worker has another identifier', () => {
+    const tasks = BoundTasks.create();
+    tasks.bind('a', 0, 'first', 'i-1');
+    tasks.bind('a', 1, 'second', 'i-1');
+    tasks.release('first', 'i-1');
+    expect(tasks.agentsOf('a', 0)).toEqual(['first']);
+    tasks.release('first', 'i-2');
+    expect(tasks.agentsOf('a', 0)).toEqual([]);
+    expect(tasks.agentsOf('a', 1)).toEqual(['second']);
+    tasks.release('second', 'i-2');
+    expect(tasks.has('a')).toBe(false);
+  });
+
   it('forgets a task only after the time in which the start may be carried out', () => {
     const tasks = BoundTasks.create();
-    tasks.bind('a', 0, 'first');
+    tasks.bind('a', 0, 'first', 'i-1');
     jest.advanceTimersByTime(BOUND_TASK_RETENTION_MS);
-    tasks.bind('b', 0, 'second');
-    expect(tasks.agentOf('a', 0)).toBe('first');
+    tasks.bind('b', 0, 'second', 'i-1');
+    expect(tasks.agentsOf('a', 0)).toEqual(['first']);
     jest.advanceTimersByTime(1);
-    tasks.bind('b', 1, 'second');
-    expect(tasks.agentOf('a', 0)).toBeUndefined();
-    expect(tasks.agentOf('b', 0)).toBe('second');
+    tasks.bind('b', 1, 'second', 'i-1');
+    expect(tasks.agentsOf('a', 0)).toEqual([]);
+    expect(tasks.agentsOf('b', 0)).toEqual(['second']);
   });
 });
--- a/packages/dispatch/tests/Dispatcher.test.ts
+++ b/packages/dispatch/tests/Dispatcher.test.ts
@@ -127,7 +127,7 @@
     const dispatcher = createDispatcher(agents.map(({ connection }) => connection));
     const [busy, free] = agents;
     Object.assign(busy?.connection ?? {}, { free: resourcesFor(0) });
-    dispatcher.bindTasks('a', [['a', 1]]);
+    dispatcher.bindTasks('a', [['a', 1, 'a']]);
     const job = createTestJob(2, 1_000);
     dispatcher.add(job);
     await jest.advanceTimersByTimeAsync(50);
@@ -146,9 +146,9 @@
       const agent = createFakeAgent('a', 1, 0);
       const dispatcher = createDispatcher([agent.connection]);
       const job = createTestJob(1, 1_000);
-      if (when === 'before') dispatcher.bindTasks('a', [['a', 0]]);
+      if (when === 'before') dispatcher.bindTasks('a', [['a', 0, 'a']]);
       dispatcher.add(job);
-      if (when === 'after') dispatcher.bindTasks('a', [['a', 0]]);
+      if (when === 'after') dispatcher.bindTasks('a', [['a', 0, 'a']]);
       await jest.advanceTimersByTimeAsync(8_000);
       dispatcher.halt();
       expect(job.isCommitted).toBe(true);
--- a/packages/gate/src/EntryConnections.ts
+++ b/packages/gate/src/EntryConnections.ts
@@ -119,6 +119,17 @@
     return this.connections.get(link)?.entry ?? link.name;
   }
 
+  /**
+   * @param id - identifier of a connection
+   * @returns true while its entry has not been silent for so long that its runs are stopped
+   */
+  isHeard(id: string): boolean {
+    const connection = [...this.connections.values()].find((other) => other.id === id);
+    return (
+      connection !== undefined && performance.now() - connection.lastContactAt < ENTRY_TIMEOUT_MS
+    );
+  }
+
   /**
    * Records that an entry has renewed its runs.
    *
@@ -200,12 +211,11 @@
    * Tells all entries that a start of a task has no answer, before they hear of ends that are reported
    * afterwards.
    *
-   * @param job - identifier of the job
-   * @param index - index of the task
+   * @param task - the task and its worker
    */
-  reportUnsettled(job: string, index: number): void {
+  reportUnsettled(task: UnsettledTasks[number]): void {
     if (this.pendingUnsettled.length === 0) setImmediate(() => this.sendUnsettled());
-    this.pendingUnsettled.push([job, index]);
+    this.pendingUnsettled.push(task);
   }
 
   /** Closes all connections. */
--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -6,6 +6,7 @@
   Params,
   Result,
   RunEnd,
+  UnsettledTasks,
   WorkerView,
 } from '@marjorammast/protocol';
 import { createLimitedWarning } from '@marjorammast/telemetry';
@@ -81,8 +82,11 @@
 
   private slowness = SlownessEstimate.create();
 
-  private readonly unsettledStarts = UnsettledStarts.create(({ job, index }) =>
-    this.connections.reportUnsettled(job, index),
+  /** Identifier of the worker of the latest session. */
+  private lastWorkerId = '';
+
+  private readonly unsettledStarts = UnsettledStarts.create((task) =>
+    this.connections.reportUnsettled(task),
   );
 
   private isStopping = false;
@@ -209,6 +213,7 @@
       worker: this.options.worker,
       mayStart: (run: Run) => this.mayStart(run),
       mayRepeatStart: (run: Run) => this.mayRepeatStart(run),
+      isOwnerHeard: ({ ownerId }: Run) => this.connections.isHeard(ownerId),
       onRunEnded: (run: Run, how: RunEnd, sign: EndSign) => this.handleRunEnd(run, how, sign),
       onEndContradicted: () => this.options.meter.endContradicted(),
       unsettledStarts: this.unsettledStarts,
@@ -224,11 +229,25 @@
       onLost: (runs: readonly Run[]) => this.crashReports.reportLoss(firstReport, runs),
       log: this.options.log,
     };
+    this.dropHandoverOfOtherWorker(id);
     this.session = WorkerSession.create(firstReport, host, this.handover);
+    this.lastWorkerId = id;
     this.handover = { ...this.handover, unconfirmed: [] };
     this.connections.handleChange();
   }
 
+  /**
+   * Commands name the id of their worker, so that one under another id refuses all that were sent before: they are
+   * not carried out any more, and their tokens say nothing to it.
+   */
+  private dropHandoverOfOtherWorker(id: string): void {
+    if (id === this.lastWorkerId) return;
+    const { unconfirmed } = this.handover;
+    this.handover = { token: 0, unconfirmed: [] };
+    this.unsettledStarts.clear();
+    unconfirmed.forEach((run) => this.handleRunEnd(run, 'lapsed', 'sessionEnded'));
+  }
+
   private keepSuccessor(workerReport: WorkerReport): void {
     const { id, born } = workerReport;
     if (!this.successor || !isSameIncarnation(this.successor, workerReport)) {
@@ -253,13 +272,16 @@
     this.options.log.info({ worker: id, born, reason, runs: session.runCount }, 'worker_ended');
     this.handover = session.end(hasCrashed);
     const { unconfirmed: runs } = this.handover;
+    runs
+      .filter(({ pendingStarts }) => pendingStarts > 0)
+      .forEach(({ task, run }) => this.unsettledStarts.add(task, run, session.identity));
     if (runs.length > 0) setTimeout(() => this.expireUnconfirmed(runs), UNCONFIRMED_RUN_MS);
     this.connections.handleChange();
   }
 
   private recordLateStart(start: UnsettledStart, listedBorn: number): void {
-    const { task, run, born, unansweredAt } = start;
-    const incarnation = born === listedBorn ? 'same' : 'later';
+    const { task, run, worker, unansweredAt } = start;
+    const incarnation = worker.born === listedBorn ? 'same' : 'later';
     const sinceMs = Math.round(performance.now() - unansweredAt);
     this.options.meter.startedLate(incarnation);
     this.options.log.warn({ task: taskKey(task), run, incarnation, sinceMs }, 'started_late');
@@ -293,7 +315,7 @@
         },
         renew: (_, link) => {
           this.connections.recordContact(link);
-          return { clock: this.options.clock() };
+          return { clock: this.options.clock(), unsettled: this.unsettledTasksOf(link) };
         },
         rules: (rules) => {
           this.applyRules(rules);
@@ -352,9 +374,21 @@
       reason: declined > 0 ? (reason ?? 'room') : undefined,
       free: this.view.free,
       clock: this.options.clock(),
+      unsettled: this.unsettledTasksOf(link),
     };
   }
 
+  /** Tasks of an entry's runs whose start commands have not been sent, or have no answer. */
+  private unsettledTasksOf(link: Link): UnsettledTasks {
+    const owner = this.connections.idOf(link);
+    return this.runs
+      .filter(({ ownerId, state, pendingStarts }) => {
+        const isUnsettled = state === 'waiting' || pendingStarts > 0;
+        return ownerId === owner && isUnsettled;
+      })
+      .map(({ task }) => [task.job, task.index, this.lastWorkerId]);
+  }
+
   private admissionStateFor(assignment: Assignment, link: Link): AdmissionState {
     const { session, options } = this;
     const { job, occurrence, step, echo, heldMs, runs } = assignment;
@@ -394,9 +428,10 @@
     return this.isOpenForStarts && this.options.clock() <= startBy;
   }
 
-  /** The owner of a run is heard from while the run is wanted, so that its age does not matter. */
-  private mayRepeatStart({ isSuspect }: Run): boolean {
-    return this.isOpenForStarts && !isSuspect;
+  /** The start of a run is repeated for an entry that has just been heard, whatever the age of the run. */
+  private mayRepeatStart({ isSuspect, ownerId }: Run): boolean {
+    const isSafe = !isSuspect && !this.isOnProbation;
+    return isSafe && this.isOpenForStarts && this.connections.isHeard(ownerId);
   }
 
   private get isOpenForStarts(): boolean {
--- a/packages/gate/src/WorkerSession.ts
+++ b/packages/gate/src/WorkerSession.ts
@@ -1,7 +1,7 @@
 import { match } from 'ts-pattern';
 import {
   NO_RESOURCES,
-  addResources,
+  fits,
   sleep,
   subtractResources,
   taskKey,
@@ -16,15 +16,18 @@
   UNCONFIRMED_RUN_MS,
 } from './constants';
 import { EndedRuns } from './EndedRuns';
+import { FencingToken } from './FencingToken';
 import { findStalledRuns } from './findStalledRuns';
 import { isAbsent } from './isAbsent';
 import { LostRuns } from './LostRuns';
+import { sumNeeds } from './sumNeeds';
 import type { EndSign, Run } from './run';
 import { WorkerContact } from './WorkerContact';
 import { WorkerLease } from './WorkerLease';
 import type { SessionHandover, WorkerSessionHost } from './workerSessionHost';
 import type {
   HoldCommand,
+  ListedEnd,
   ListedRun,
   CommandResult,
   RunList,
@@ -32,12 +35,6 @@
   WorkerReport,
 } from './WorkerClient';
 
-/**
- * Computes a fencing token from the start time of a worker incarnation and a reading of its clock. The
- * token is higher than those used for earlier incarnations and by earlier processes of the agent.
- */
-const fencingTokenAt = (born: number, clock: number): number => Math.floor(born + clock);
-
 /**
  * Session of the agent with one incarnation of a worker, that is, from one start of the worker to
  * the next. It tracks the runs on the worker, their lease and the resources that they occupy.
@@ -45,11 +42,7 @@
 export class WorkerSession {
   readonly identity: WorkerIdentity;
 
-  /** Fencing token of the commands; it rises after each start without an answer. */
-  private token: number;
-
-  /** Highest fencing token sent to this incarnation of the worker or to the next one. */
-  private highestSentToken: number;
+  private readonly fencing: FencingToken;
 
   private readonly runs = new Map<string, Run>();
 
@@ -95,8 +88,7 @@
     handover: SessionHandover,
   ) {
     this.identity = { id: report.id, born: report.born };
-    this.token = Math.max(fencingTokenAt(report.born, report.clock), handover.token + 1);
-    this.highestSentToken = this.token;
+    this.fencing = FencingToken.create(report.born, report.clock, handover.token);
     this.lease = WorkerLease.create(report.clock);
   }
 
@@ -145,7 +137,8 @@
    * runs of a worker share their lease, so that each extension for another run would keep this one alive.
    */
   private get isLeaseWithheld(): boolean {
-    return this.hasLeft || !this.isReconciled || this.sentRuns.some(({ isWanted }) => !isWanted);
+    const isAbandoned = (run: Run) => !run.isWanted || !this.host.isOwnerHeard(run);
+    return this.hasLeft || !this.isReconciled || this.sentRuns.some(isAbandoned);
   }
 
   /**
@@ -154,11 +147,11 @@
    */
   get free(): Resources {
     if (this.isFull) return NO_RESOURCES;
-    const used = [...this.runs.values()].reduce(
-      (sum, { needs }) => addResources(sum, needs),
-      NO_RESOURCES,
-    );
-    return withoutDeficits(subtractResources(this.report.capacity, used));
+    return withoutDeficits(subtractResources(this.report.capacity, sumNeeds(this.allRuns)));
+  }
+
+  private get allRuns(): Run[] {
+    return [...this.runs.values()];
   }
 
   /**
@@ -180,7 +173,7 @@
    * @returns the matching runs
    */
   select(isWanted: (run: Run) => boolean): Run[] {
-    return [...this.runs.values()].filter(isWanted);
+    return this.allRuns.filter(isWanted);
   }
 
   /**
@@ -190,6 +183,11 @@
    * @param run - the run
    */
   startRun(run: Run): void {
+    // Another entry may have used this number for the task: a list can't tell which of the two starts it shows.
+    if (this.host.unsettledStarts.has(run.task, run.run)) {
+      run.starts += 1;
+      run.pendingStarts += 1;
+    }
     this.track(run);
     if (run.state !== 'waiting') void this.sendStart(run);
     else setTimeout(() => this.startWaiting(run), run.startsAt - performance.now());
@@ -267,12 +265,11 @@
     clearTimeout(this.renewalTimer);
     this.select(({ state }) => state === 'waiting').forEach((run) => this.stop(run));
     const unconfirmed = this.select(({ wasListed }) => !wasListed);
-    unconfirmed.forEach((run) => this.recordIfUnsettled(run));
     this.select(({ wasListed }) => wasListed).forEach((run) =>
       this.removeRun(run, 'lapsed', 'sessionEnded'),
     );
     this.host.onChanged();
-    return { token: this.highestSentToken, unconfirmed };
+    return { token: this.fencing.highest, unconfirmed };
   }
 
   private adoptUnconfirmed(run: Run): void {
@@ -292,7 +289,7 @@
   }
 
   private get commandBase(): { worker: WorkerIdentity; token: number } {
-    return { worker: this.identity, token: this.token };
+    return { worker: this.identity, token: this.fencing.current };
   }
 
   private recordContact(clock: number | undefined): void {
@@ -316,7 +313,7 @@
 
   private async sendStart(run: Run): Promise<void> {
     const { task, spec } = run;
-    run.startToken = this.token;
+    run.startToken = this.fencing.current;
     run.starts += 1;
     run.pendingStarts += 1;
     const answer = await this.host.worker.start({
@@ -364,7 +361,8 @@
     run.unansweredAt = unansweredAt;
     const isUnsettled = () =>
       this.isTracked(run) && run.state === 'starting' && run.unansweredAt === unansweredAt;
-    this.raiseToken();
+    this.fencing.raise(this.lease.workerTime);
+    if (this.isTracked(run) && !isUnsettled()) this.recordIfUnsettled(run);
     while (isUnsettled()) {
       await this.fetchRunList();
       if (this.isTracked(run)) this.recordIfUnsettled(run);
@@ -378,20 +376,17 @@
     if (pendingStarts > 0) this.host.unsettledStarts.add(task, run, this.identity);
   }
 
-  private raiseToken(): void {
-    const { born } = this.identity;
-    this.token = Math.max(this.token + 1, fencingTokenAt(born, this.lease.workerTime));
-    this.highestSentToken = Math.max(this.highestSentToken, this.token);
-  }
-
   /** Handles the runs that a list does not show and whose starts the worker refuses since it was requested. */
   private settleFencedRuns(list: RunList, token: number): void {
+    // The capacity may have shrunk below what the runs occupy, also those that have not started.
+    const hasRoom = !this.isFull && fits(sumNeeds(this.allRuns), this.report.capacity);
     this.sentRuns
       .filter((run) => !run.wasStarted && run.unansweredAt !== undefined)
       .filter((run) => run.startToken < token && isAbsent(run, list))
       .forEach((run) => {
         const isStarting = run.state === 'starting' && run.isWanted;
-        if (isStarting && this.host.mayRepeatStart(run)) this.repeatStart(run);
+        const isRepeatable = isStarting && hasRoom && this.host.mayRepeatStart(run);
+        if (isRepeatable) this.repeatStart(run);
         else this.removeRun(run, 'notRun', 'fenced');
       });
   }
@@ -539,8 +534,8 @@
    */
   private fenceNextIncarnation({ born, clock }: RunList): void {
     const worker = { ...this.identity, born };
-    this.highestSentToken = Math.max(this.highestSentToken, fencingTokenAt(born, clock));
-    const command = { worker, token: this.highestSentToken, lastEnd: 0, waitMs: 0 };
+    const token = this.fencing.forNextIncarnation(born, clock);
+    const command = { worker, token, lastEnd: 0, waitMs: 0 };
     void this.host.worker.hold(command).then((answer) => {
       this.host.log.info({ born, answer: answer.type }, 'next_life_fenced');
     });
@@ -580,7 +575,7 @@
     this.isReconciled = false;
   }
 
-  private recordEnd(number: number, task: TaskId, run: number, how: ListedRunEnd): void {
+  private recordEnd(number: number, task: TaskId, run: number, how: ListedEnd['how']): void {
     if (number <= this.lastEndNumber) return;
     this.lastEndNumber = number;
     this.isFull = false;
@@ -592,13 +587,12 @@
   /** A run that is listed was started: its start, if only one was sent, is no longer on its way. */
   private settleListedStarts({ running, ended, born }: RunList): void {
     [...running, ...ended].forEach(({ task, run }) => {
-      const known = this.find(task);
-      if (known?.run === run) {
-        if (known.starts > 1) return;
-        known.pendingStarts = 0;
-      }
-      const start = this.host.unsettledStarts.take(task, run);
+      const start = this.host.unsettledStarts.recordListed(task, run);
       if (start) this.host.onStartedLate(start, born);
+      const known = this.find(task);
+      if (known?.run !== run || known.starts > 1) return;
+      known.pendingStarts = 0;
+      this.host.unsettledStarts.remove(task, run);
     });
   }
 
@@ -651,7 +645,11 @@
    */
   private stopStalledRuns(): void {
     const now = performance.now();
-    const running = this.select((run) => run.state === 'running');
+    const boundTasks = this.host.unsettledStarts.taskKeys;
+    // A task with a start that is on its way would start here again.
+    const running = this.select(
+      (run) => run.state === 'running' && !boundTasks.has(taskKey(run.task)),
+    );
     const stalled = findStalledRuns(running, now);
     stalled.forEach((run) => this.host.onStalled(run));
     new Set([...stalled, ...this.host.findRunsToMove(running)]).forEach((run) => {
@@ -701,5 +699,3 @@
     if (this.hasLeft && !this.hasEnded && this.runs.size === 0) this.host.onLeft();
   }
 }
-
-type ListedRunEnd = Extract<RunEnd, 'done' | 'failed' | 'stopped' | 'lapsed'>;
--- a/packages/gate/src/workerSessionHost.ts
+++ b/packages/gate/src/workerSessionHost.ts
@@ -19,6 +19,8 @@
   mayStart: (run: Run) => boolean;
   /** Tells whether the start of a run that got no answer may be sent again. */
   mayRepeatStart: (run: Run) => boolean;
+  /** Tells whether the entry that owns a run has not been silent for too long. */
+  isOwnerHeard: (run: Run) => boolean;
   onRunEnded: (run: Run, how: RunEnd, sign: EndSign) => void;
   /** Called when the worker lists a run as running whose end has been reported before. */
   onEndContradicted: () => void;
--- a/packages/gate/tests/GateAgent.test.ts
+++ b/packages/gate/tests/GateAgent.test.ts
@@ -313,10 +313,42 @@
     await jest.advanceTimersByTimeAsync(50);
     entries[0]?.entryLink.notify('abandon', { jobs: [assignment.job] });
     await jest.advanceTimersByTimeAsync(50);
-    expect(entries[0]?.calls).toEqual(['unsettled [["a",0]]', 'ended']);
-    expect(entries[1]?.calls).toEqual(['unsettled [["a",0]]']);
+    expect(entries[0]?.calls).toEqual(['unsettled [["a",0,"i-1"]]', 'ended']);
+    expect(entries[1]?.calls).toEqual(['unsettled [["a",0,"i-1"]]']);
     const later = await attach(agent, 'third');
-    expect(later.answer.unsettled).toEqual([['a', 0]]);
+    expect(later.answer.unsettled).toEqual([['a', 0, 'i-1']]);
+    agent.halt();
+  });
+
+  // Guards against an agent that is locked out after its restart: the clock of a worker begins at any reading, so that
+  // a token above that of an earlier worker may be above all that the next process of the agent can compute.
+  it('begins with a token of its own for a worker under another id, of which it tells as of the earlier one', async () => {
+    const tokens: number[] = [];
+    let isOther = false;
+    const client = createWorkerClient(() => true);
+    const agent = createAgent({
+      ...client,
+      hold: (command) => {
+        if (isOther && command.worker.id === report.id)
+          return Promise.resolve({ type: 'refused', reason: 'otherLife' });
+        if (isOther) tokens.push(command.token);
+        return client.hold(command);
+      },
+      start: () =>
+        Promise.resolve({ type: 'noAnswer', detail: 'late', wasRefused: false, wasSent: true }),
+    });
+    agent.handleReport({ ...report, clock: 5_000_000 });
+    const entry = await attach(agent, 'first');
+    await jest.advanceTimersByTimeAsync(10);
+    await entry.entryLink.call('assign', { ...assignment, echo: performance.now() });
+    await jest.advanceTimersByTimeAsync(50);
+    isOther = true;
+    const next = { ...report, id: 'i-2', born: report.born + 2, clock: 10 };
+    agent.handleReport(next);
+    await jest.advanceTimersByTimeAsync(100);
+    expect(tokens[0]).toBe(next.born + next.clock);
+    expect(entry.ends.map(([, , , how]) => how)).toEqual(['lapsed']);
+    expect((await attach(agent, 'second')).answer.unsettled).toEqual([]);
     agent.halt();
   });
 
--- a/packages/gate/tests/WorkerSession.test.ts
+++ b/packages/gate/tests/WorkerSession.test.ts
@@ -83,6 +83,7 @@
     hasUnreadableRows: false,
     mayStart: true,
     mayRepeatStart: false,
+    isOwnerHeard: true,
   };
   const refused = { ...noAnswer, wasRefused: true, wasSent: false };
   const list = (): HoldResult => ({
@@ -117,6 +118,7 @@
     },
     mayStart: () => fixture.mayStart,
     mayRepeatStart: () => fixture.mayRepeatStart,
+    isOwnerHeard: () => fixture.isOwnerHeard,
     onRunEnded: (_, how) => fixture.ends.push(how),
     onEndContradicted: jest.fn(),
     unsettledStarts: UnsettledStarts.create(jest.fn()),
@@ -179,7 +181,7 @@
     fixture.isHoldUnanswered = false;
     fixture.running = [{ task: run.task, run: 1, percent: 10 }];
     await advance(60);
-    const start = expect.objectContaining({ task: run.task, run: 1, born: BORN });
+    const start = expect.objectContaining({ task: run.task, run: 1 });
     expect(fixture.host.onStartedLate).toHaveBeenCalledWith(start, BORN);
     expect(fixture.host.onStartedLate).toHaveBeenCalledTimes(1);
     fixture.session.end();
@@ -201,7 +203,7 @@
     fixture.running = [{ task: run.task, run: 1, percent: 10 }];
     await advance(60);
     expect(run).toMatchObject({ state: 'running', pendingStarts: 1 });
-    expect(fixture.host.unsettledStarts.tasks).toEqual([['a', 0]]);
+    expect(fixture.host.unsettledStarts.tasks).toEqual([['a', 0, 'i-1']]);
     fixture.session.end();
   });
 
--- a/packages/protocol/src/dispatchMessages.ts
+++ b/packages/protocol/src/dispatchMessages.ts
@@ -79,10 +79,11 @@
 });
 
 /**
- * Tasks of which a start got no answer, as pairs of job and task index. The worker, or its next incarnation,
- * may still carry that start out, so that the task may be started on no other worker.
+ * Tasks of which a start got no answer, as rows of job, task index and identifier of the worker. That worker, or
+ * its next incarnation under this identifier, may still carry the start out, so that the task may be started on
+ * no other worker.
  */
-export const unsettledTasksSchema = z.array(z.tuple([z.string(), count]));
+export const unsettledTasksSchema = z.array(z.tuple([z.string(), count, z.string()]));
 
 /** Routing rule: which requests it matches and how their jobs run. */
 export const routeSchema = z.object({
@@ -185,6 +186,8 @@
       reason: declineReasonSchema.optional(),
       free: resourcesSchema,
       clock: z.number(),
+      /** Tasks of this entry's runs whose starts have no answer yet. */
+      unsettled: unsettledTasksSchema.default([]),
     }),
   },
   /** Entry to agent: stops the runs of these jobs, whose results are no longer needed. */
@@ -193,7 +196,14 @@
    * Entry to agent: shows that the entry is alive. When an entry with runs stays silent, the agent
    * closes the connection and stops these runs.
    */
-  renew: { params: z.object({}), result: z.object({ clock: z.number() }) },
+  renew: {
+    params: z.object({}),
+    result: z.object({
+      clock: z.number(),
+      /** Tasks of this entry's runs whose starts have no answer yet. */
+      unsettled: unsettledTasksSchema.default([]),
+    }),
+  },
   /** Agent to entry: reports runs that have ended. */
   ended: {
     params: z.object({
--- a/packages/protocol/tests/Link.test.ts
+++ b/packages/protocol/tests/Link.test.ts
@@ -19,7 +19,7 @@
     {
       renew: (params) => {
         renewals.push(params);
-        return { clock: 1 };
+        return { clock: 1, unsettled: [] };
       },
       abandon: () => {
         throw new Error('broken');
@@ -105,6 +105,6 @@
         while (performance.now() < pausedUntil);
       });
     });
-    expect(result).toEqual({ clock: 7 });
+    expect(result).toEqual({ clock: 7, unsettled: [] });
   });
 });
--- a/packages/protocol/tests/oddRows.test.ts
+++ b/packages/protocol/tests/oddRows.test.ts
@@ -19,7 +19,10 @@
   const ended: unknown[] = [];
   const written: { id: number }[] = [];
   const server = createCallServer(
-    { ended: ({ runs }) => ({ ...(ended.push(...runs) && {}) }), renew: () => ({ clock: 1 }) },
+    {
+      ended: ({ runs }) => ({ ...(ended.push(...runs) && {}) }),
+      renew: () => ({ clock: 1, unsettled: [] }),
+    },
     (fault) => faults.push(fault),
   );
   const transport = {
@@ -101,7 +104,7 @@
     await wait(50);
     expect(closed).toHaveBeenCalledTimes(1);
     const next = await dial(`127.0.0.1:${portOf(good)}`, server, traffic);
-    await expect(next.call('renew', {})).resolves.toEqual({ clock: 1 });
+    await expect(next.call('renew', {})).resolves.toEqual({ clock: 1, unsettled: [] });
     next.close();
   });
 
