--- a/packages/proofs/tests/support/DispatchSimulation.ts
+++ b/packages/proofs/tests/support/DispatchSimulation.ts
@@ -10,6 +10,8 @@
 import { MemoryWorker } from './MemoryWorker';
 import type { ObservedRun, TaskSpec } from './MemoryWorker';
 import { Network } from './Network';
+import { createProcessTimers, runInProcess } from './processTimers';
+import type { ProcessTimers } from './processTimers';
 
 /** Data centres of the simulated deployment. */
 export const DATA_CENTERS = ['north', 'east'] as const;
@@ -72,7 +74,7 @@
 export type ObservedAnswer = { job: SentJob; entry: string; outcome: JobOutcome; at: number };
 
 /** One process of an entry or of an agent; a restart creates another one. */
-type SimulatedProcess<T> = { name: string; node: T; isAlive: boolean };
+type SimulatedProcess<T> = { name: string; node: T; isAlive: boolean; timers?: ProcessTimers };
 
 /**
  * Simulates a deployment of entries, agents and workers in one process with Jest's fake timers, and
@@ -243,7 +245,8 @@
     if (!worker || this.agents[index]?.isAlive) return;
     const name = `agent-${index}`;
     const liveness: { isAlive: boolean } = { isAlive: true };
-    const node = GateAgent.create({
+    const timers = createProcessTimers();
+    const options = {
       name,
       dataCenter: this.dataCenterOf(index),
       worker: worker.createClient({
@@ -259,8 +262,10 @@
         startedLate: () => undefined,
         crashed: () => undefined,
       },
-    });
-    this.agents[index] = Object.assign(liveness, { name, node });
+    };
+    const node = runInProcess(timers, () => GateAgent.create(options));
+    this.agents[index] = Object.assign(liveness, { name, node, timers });
+    this.network.setTimers(name, timers);
     this.network.listen(name, node.server);
   }
 
@@ -341,7 +346,7 @@
     const worker = this.workers[index];
     const agent = this.agents[index];
     const report = worker?.report();
-    if (report && agent?.isAlive) agent.node.handleReport(report);
+    if (report && agent?.isAlive) runInProcess(agent.timers, () => agent.node.handleReport(report));
   }
 
   /**
--- a/packages/proofs/tests/support/MemoryWorker.ts
+++ b/packages/proofs/tests/support/MemoryWorker.ts
@@ -8,6 +8,7 @@
 } from '@marjorammast/gate';
 import { sleep, taskKey } from '@marjorammast/protocol';
 import type { Resources, TaskId } from '@marjorammast/protocol';
+import { runOutside } from './processTimers';
 
 /** One run on a worker; the times are monotonic, in milliseconds. */
 export type ObservedRun = {
@@ -122,6 +123,12 @@
   /** Delay of the commands that are late by {@link lateShares}, shortest and longest, in milliseconds. */
   lateDelaysMs: readonly [number, number] = LATE_SHARE_DELAYS_MS;
 
+  /**
+   * True when the lease of a command that is executed late counts from then: it lasts for as long as it would
+   * have if the command had been executed when it was sent. The platform's page has no such commands.
+   */
+  countsLateLeasesFromArrival = false;
+
   /** Rate of the worker's clock; 0.98 is the slowest rate that the platform allows. */
   clockRate = 1;
 
@@ -266,7 +273,7 @@
     };
     const executeCommand = async <T extends HoldResult | CommandResult>(
       kind: CommandKind,
-      command: () => T,
+      command: (lateMs: number) => T,
     ): Promise<T | NoAnswer> => {
       // A killed agent sends no commands.
       if (!sender.isAlive()) return { type: 'noAnswer', detail: 'agent dead', wasRefused: false };
@@ -281,7 +288,7 @@
         return { type: 'noAnswer', detail: 'refused', wasRefused: true };
       }
       const isSilent = this.isDown || isLate || commandFault === 'silent';
-      const answer: T | undefined = isSilent ? undefined : command();
+      const answer: T | undefined = isSilent ? undefined : command(0);
       if (this.isDown && !this.isCrashSilent)
         return { type: 'noAnswer', detail: 'closed', wasRefused: false };
       if (answer && !this.isDown && commandFault !== 'answerLost' && sender.isAlive())
@@ -291,7 +298,7 @@
     };
     const sendCommand = async <T extends HoldResult | CommandResult>(
       kind: CommandKind,
-      command: () => T,
+      command: (lateMs: number) => T,
       waitMs = 0,
     ): Promise<T | NoAnswer> => {
       await waitUntilResumed();
@@ -321,36 +328,40 @@
     };
     return {
       start: ({ worker, token, task, run, spec, leaseUntil }) =>
-        sendCommand('start', (): CommandResult => {
-          const refusal = checkCommand(worker, token);
-          return refusal ?? this.startRun(task, run, spec, leaseUntil);
-        }),
+        runOutside(() =>
+          sendCommand('start', (lateMs): CommandResult => {
+            const refusal = checkCommand(worker, token);
+            return refusal ?? this.startRun(task, run, spec, leaseUntil + lateMs);
+          }),
+        ),
       stop: ({ worker, token, task, run }) =>
-        sendCommand(
-          'stop',
-          (): CommandResult => checkCommand(worker, token) ?? this.stopRun(task, run),
+        runOutside(() =>
+          sendCommand(
+            'stop',
+            (): CommandResult => checkCommand(worker, token) ?? this.stopRun(task, run),
+          ),
         ),
       hold: ({ worker, token, lastEnd, leaseUntil, waitMs }) => {
         const mayWait =
           this.commandFault === 'none' && this.endedRuns.every((end) => end.number <= lastEnd);
-        return sendCommand(
-          'hold',
-          (): HoldResult => {
-            const refusal = checkCommand(worker, token);
-            if (refusal && refusal.type !== 'accepted') return refusal;
-            if (leaseUntil !== undefined) this.extendLease(leaseUntil);
-            return { type: 'list', list: this.listRuns(lastEnd) };
-          },
-          mayWait ? waitMs : 0,
-        );
+        const hold = (lateMs: number): HoldResult => {
+          const refusal = checkCommand(worker, token);
+          if (refusal && refusal.type !== 'accepted') return refusal;
+          if (leaseUntil !== undefined) this.extendLease(leaseUntil + lateMs);
+          return { type: 'list', list: this.listRuns(lastEnd) };
+        };
+        return runOutside(() => sendCommand('hold', hold, mayWait ? waitMs : 0));
       },
     };
   }
 
   /** Executes a command after a delay, by whatever incarnation is there then. */
-  private executeLater(command: () => unknown, delayMs: number): void {
+  private executeLater(command: (lateMs: number) => unknown, delayMs: number): void {
+    const sentClock = this.clock();
     setTimeout(() => {
-      if (!this.isDown) command();
+      // The clock may be that of another incarnation by then.
+      const lateMs = this.countsLateLeasesFromArrival ? this.clock() - sentClock : 0;
+      if (!this.isDown) command(lateMs);
     }, delayMs);
   }
 
--- a/packages/proofs/tests/support/Network.ts
+++ b/packages/proofs/tests/support/Network.ts
@@ -1,10 +1,14 @@
 import { Link } from '@marjorammast/protocol';
 import type { CallServer } from '@marjorammast/protocol';
+import { runInProcess, runOverdueTimers } from './processTimers';
+import type { ProcessTimers } from './processTimers';
 
 type Node = {
   name: string;
   server?: CallServer;
   isFrozen: boolean;
+  /** Timers of its process, if they wait while it is frozen. */
+  timers?: ProcessTimers;
   /** Outgoing pipes of the connections that this node is an end of. */
   pipes: Set<Pipe>;
 };
@@ -13,7 +17,12 @@
  * A message with the monotonic time at which it arrives at the earliest, in milliseconds. An empty
  * text tells that the sending end has closed.
  */
-type Message = { text: string; dueAt: number };
+type Message = {
+  text: string;
+  dueAt: number;
+  /** True when it waits in the socket of its receiver, which is frozen. */
+  isReceived?: boolean;
+};
 
 /** Time until a connection attempt to an unreachable node fails, in milliseconds. */
 const DIAL_TIMEOUT_MS = 1_500;
@@ -62,14 +71,21 @@
   }
 
   deliverDueMessages(): void {
-    while (this.queue.length > 0 && this.network.passesMessages(this.from, this.to)) {
-      const [next] = this.queue;
-      if (!next || next.dueAt > performance.now()) return;
+    if (this.network.hasSocketBuffers && this.network.reachesSocket(this.from, this.to))
+      this.queue
+        .filter(({ dueAt }) => dueAt <= performance.now())
+        .forEach((message) => Object.assign(message, { isReceived: true }));
+    for (let [next] = this.queue; next && this.mayDeliver(next); [next] = this.queue) {
+      const { text } = next;
       this.queue.shift();
-      if (next.text === '') this.end();
-      else this.deliver(next.text);
+      runInProcess(this.to.timers, () => (text === '' ? this.end() : this.deliver(text)));
     }
   }
+
+  private mayDeliver({ dueAt, isReceived }: Message): boolean {
+    if (isReceived) return !this.to.isFrozen;
+    return this.network.passesMessages(this.from, this.to) && dueAt <= performance.now();
+  }
 }
 
 /** Simulates connections between nodes in one process, with cuts, freezes and delays. */
@@ -98,6 +114,9 @@
   /** Greatest additional random delay of a message, in milliseconds. */
   jitterMs = 0;
 
+  /** True when messages that have arrived at a frozen node wait in its socket, where no cut holds them back. */
+  hasSocketBuffers = false;
+
   /** Makes a node accept connections. */
   listen(name: string, server: CallServer): void {
     this.getNode(name).server = server;
@@ -115,8 +134,28 @@
 
   /** Freezes or resumes a node; no message reaches or leaves a frozen node. */
   freeze(name: string, isFrozen: boolean): void {
-    this.getNode(name).isFrozen = isFrozen;
-    if (!isFrozen) this.deliverAllDueMessages();
+    const node = this.getNode(name);
+    const { timers } = node;
+    node.isFrozen = isFrozen;
+    if (timers) timers.isFrozen = isFrozen;
+    if (isFrozen) return;
+    if (!timers?.overdue.length) {
+      this.deliverAllDueMessages();
+      return;
+    }
+    // The sockets are read after the overdue timers, and before what these leave for later.
+    setImmediate(() => this.deliverAllDueMessages());
+    runOverdueTimers(timers);
+  }
+
+  /**
+   * Sets the timers of a node's process.
+   *
+   * @param name - name of the node
+   * @param timers - the timers
+   */
+  setTimers(name: string, timers: ProcessTimers): void {
+    this.getNode(name).timers = timers;
   }
 
   /** Tells whether a node is frozen. */
@@ -136,6 +175,11 @@
     return !from.isFrozen && !to.isFrozen && !this.cuts.has(`${from.name}>${to.name}`);
   }
 
+  /** Tells whether messages reach the socket of a node, which may be frozen. */
+  reachesSocket(from: Node, to: Node): boolean {
+    return !from.isFrozen && !this.cuts.has(`${from.name}>${to.name}`);
+  }
+
   /** Tells whether calls of a node reach the store. */
   reachesStore(name: string): boolean {
     return !this.getNode(name).isFrozen && !this.cuts.has(`${name}>store`);
--- a/packages/proofs/tests/support/dispatchSchedule.ts
+++ b/packages/proofs/tests/support/dispatchSchedule.ts
@@ -13,6 +13,8 @@
     | 'cut'
     /** Cuts the network from the entry to the agent only. */
     | 'cutOneWay'
+    /** Cuts the network from the agent to the entry only. */
+    | 'cutAnswers'
     /** The worker neither executes nor answers commands. */
     | 'silent'
     /** The worker executes commands, but its answers are lost. */
@@ -102,6 +104,10 @@
   jobs: PlannedDispatchJob[];
   /** Workers of which some commands are late; none if absent. */
   lateWorkers?: LateWorker[];
+  /** True when messages wait in the sockets of frozen processes, where no cut holds them back. */
+  hasSocketBuffers?: boolean;
+  /** True when the leases of late commands count from their arrival. */
+  countsLateLeasesFromArrival?: boolean;
 };
 
 const ENTRIES = 2;
@@ -296,6 +302,7 @@
       simulation.network.cut(agent, entry, isOn);
     },
     cutOneWay: () => simulation.network.cut(entry, agent, isOn),
+    cutAnswers: () => simulation.network.cut(agent, entry, isOn),
     silent: () => {
       if (worker) worker.commandFault = isOn ? 'silent' : 'none';
     },
@@ -364,6 +371,9 @@
   agentCount = AGENTS,
 ): Promise<DispatchSimulation> => {
   const simulation = DispatchSimulation.create(schedule.seed, ENTRIES, agentCount);
+  const { hasSocketBuffers = false, countsLateLeasesFromArrival = false } = schedule;
+  simulation.network.hasSocketBuffers = hasSocketBuffers;
+  simulation.workers.forEach((worker) => Object.assign(worker, { countsLateLeasesFromArrival }));
   await jest.advanceTimersByTimeAsync(1_000);
   schedule.lateWorkers?.forEach(({ node, share }) => {
     const worker = simulation.workers[node];
