--- a/packages/dispatch/src/BoundTasks.ts
+++ b/packages/dispatch/src/BoundTasks.ts
@@ -1,3 +1,4 @@
+import type { BoundTaskRows } from '@marjorammast/protocol';
 import { BOUND_TASK_RETENTION_MS } from './constants';
 
 /** A worker to which a task is bound. */
@@ -64,6 +65,7 @@
    * @returns true when a start of one of its tasks may be carried out later
    */
   has(job: string): boolean {
+    this.expire();
     return this.jobs.has(job);
   }
 
@@ -76,6 +78,17 @@
     return (this.jobs.get(job)?.bindings.get(index) ?? []).map(({ agent }) => agent);
   }
 
+  /**
+   * @param job - identifier of a job
+   * @returns rows of job, task index, name of the agent and identifier of its worker
+   */
+  rowsOf(job: string): BoundTaskRows {
+    this.expire();
+    return [...(this.jobs.get(job)?.bindings ?? [])].flatMap(([index, ofTask]) =>
+      ofTask.map(({ agent, workerId }): BoundTaskRows[number] => [job, index, agent, workerId]),
+    );
+  }
+
   private expire(): void {
     const oldestKept = performance.now() - BOUND_TASK_RETENTION_MS;
     for (let [oldest] = this.jobs; oldest && oldest[1].boundAt < oldestKept; [oldest] = this.jobs) {
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -1,6 +1,6 @@
 import { match } from 'ts-pattern';
 import { CallError } from '@marjorammast/protocol';
-import type { Params, Route, RunEnd, UnsettledTasks } from '@marjorammast/protocol';
+import type { BoundTaskRows, Params, Route, RunEnd, UnsettledTasks } from '@marjorammast/protocol';
 import type { Log } from '@marjorammast/telemetry';
 import type { ActiveJob } from './ActiveJob';
 import type { AgentConnection, Assignment, StartKnowledge } from './AgentConnection';
@@ -61,6 +61,9 @@
 
   private readonly boundTasks = BoundTasks.create();
 
+  /** Bound tasks of which other entries have told. They are not told on: entries could keep them for ever. */
+  private readonly toldBoundTasks = BoundTasks.create();
+
   /** Identifiers of the workers of the agents. */
   private readonly workerIds = new Map<string, string>();
 
@@ -172,6 +175,28 @@
     this.queue.forEach((job) => this.commitIfBound(job));
   }
 
+  /**
+   * Binds tasks of which another entry has told.
+   *
+   * @param rows - rows of job, task index, name of the agent and identifier of its worker
+   */
+  bindToldTasks(rows: BoundTaskRows): void {
+    rows
+      .filter(([, , agent, workerId]) => (this.workerIds.get(agent) ?? workerId) === workerId)
+      .forEach(([job, index, agent, workerId]) =>
+        this.toldBoundTasks.bind(job, index, agent, workerId),
+      );
+    this.queue.forEach((job) => this.commitIfBound(job));
+  }
+
+  /**
+   * @param job - identifier of a job
+   * @returns its bound tasks that other entries may not know of
+   */
+  boundTasksOf(job: string): BoundTaskRows {
+    return this.boundTasks.rowsOf(job);
+  }
+
   /**
    * Handles the loss of the connection to an agent: the tasks that run there are queued again once
    * their runs have certainly ended. Those whose starts may have no answer may start only there.
@@ -207,11 +232,20 @@
     if (workerId === '' || this.workerIds.get(agent) === workerId) return;
     this.workerIds.set(agent, workerId);
     this.boundTasks.release(agent, workerId);
+    this.toldBoundTasks.release(agent, workerId);
+  }
+
+  /** Names of the agents to whose workers a task is bound. */
+  private agentsBoundTo(job: string, index: number): string[] {
+    const own = this.boundTasks.agentsOf(job, index);
+    const told = this.toldBoundTasks.agentsOf(job, index);
+    return [...new Set([...own, ...told])];
   }
 
   /** A job of which a start may be carried out later, also one of another copy, can't be refused as not run. */
   private commitIfBound(job: ActiveJob): void {
-    if (this.boundTasks.has(job.id)) job.mayHaveRun = true;
+    const isBound = this.boundTasks.has(job.id) || this.toldBoundTasks.has(job.id);
+    if (isBound) job.mayHaveRun = true;
   }
 
   /** Binds the tasks of which a lost agent may have sent a start without an answer. Returns their number. */
@@ -232,9 +266,7 @@
   /** Number of waiting tasks that may start on any worker. */
   private countUnbound(job: ActiveJob): number {
     const { waitingTasks } = job;
-    if (!this.boundTasks.has(job.id)) return waitingTasks.length;
-    return waitingTasks.filter((index) => this.boundTasks.agentsOf(job.id, index).length === 0)
-      .length;
+    return waitingTasks.filter((index) => this.agentsBoundTo(job.id, index).length === 0).length;
   }
 
   /** Stops dispatching. */
@@ -334,9 +366,8 @@
       const groups = groupWaitingTasks(job, {
         isSuspect: (index) => crashRecords.isSuspect(job.id, index),
         mustWait: (index) =>
-          crashRecords.mustWait(job.id, index) ||
-          this.boundTasks.agentsOf(job.id, index).length > 1,
-        boundTo: (index) => this.boundTasks.agentsOf(job.id, index)[0],
+          crashRecords.mustWait(job.id, index) || this.agentsBoundTo(job.id, index).length > 1,
+        boundTo: (index) => this.agentsBoundTo(job.id, index)[0],
       });
       groups.forEach((group) => {
         const count = group.indexes.length;
--- a/packages/dispatch/tests/BoundTasks.test.ts
+++ b/packages/dispatch/tests/BoundTasks.test.ts
@@ -46,4 +46,27 @@
     expect(tasks.agentsOf('a', 0)).toEqual([]);
     expect(tasks.agentsOf('b', 0)).toEqual(['second']);
   });
+
+  it('forgets a task also when no other one is bound', () => {
+    const tasks = BoundTasks.create();
+    tasks.bind('a', 0, 'first', 'i-1');
+    jest.advanceTimersByTime(BOUND_TASK_RETENTION_MS);
+    expect(tasks.has('a')).toBe(true);
+    jest.advanceTimersByTime(1);
+    expect([tasks.has('a'), tasks.agentsOf('a', 0)]).toEqual([false, []]);
+  });
+
+  it('lists the tasks of a job for as long as they are bound', () => {
+    const tasks = BoundTasks.create();
+    tasks.bind('a', 0, 'first', 'i-1');
+    tasks.bind('a', 3, 'second', 'i-1');
+    tasks.bind('b', 1, 'first', 'i-1');
+    expect(tasks.rowsOf('a')).toEqual([
+      ['a', 0, 'first', 'i-1'],
+      ['a', 3, 'second', 'i-1'],
+    ]);
+    expect(tasks.rowsOf('c')).toEqual([]);
+    jest.advanceTimersByTime(BOUND_TASK_RETENTION_MS + 1);
+    expect(tasks.rowsOf('a')).toEqual([]);
+  });
 });
