--- a/packages/proofs/tests/unansweredStarts.test.ts
+++ b/packages/proofs/tests/unansweredStarts.test.ts
@@ -17,6 +17,22 @@
   deadlineMs,
 });
 
+/** Creates a simulation whose first worker carries out all starts late, after the given time in milliseconds. */
+const createLateStarts = async (
+  seed: number,
+  entryCount: number,
+  agentCount: number,
+  delayMs: number,
+) => {
+  const simulation = DispatchSimulation.create(seed, entryCount, agentCount);
+  await jest.advanceTimersByTimeAsync(1_000);
+  const [worker] = simulation.workers;
+  if (!worker) throw new Error('no worker');
+  worker.lateDelaysMs = [delayMs, delayMs];
+  worker.lateShares = { start: 1 };
+  return { simulation, worker };
+};
+
 describe('no guarantee is broken by starts without an answer', () => {
   beforeEach(() => {
     jest.useFakeTimers({ now: 1_800_000_000_000 });
@@ -29,12 +45,7 @@
   describe.each(SEEDS)('with seed %i', (seed) => {
     // LIMIT: the reserved room of a run is more than what the worker has left when its start is sent again.
     it('when starts without an answer are sent again to a worker whose capacity has shrunk', async () => {
-      const simulation = DispatchSimulation.create(seed, 1, 1);
-      await jest.advanceTimersByTimeAsync(1_000);
-      const [worker] = simulation.workers;
-      if (!worker) return;
-      worker.lateDelaysMs = [6_000, 6_000];
-      worker.lateShares = { start: 1 };
+      const { simulation, worker } = await createLateStarts(seed, 1, 1, 6_000);
       void simulation.send(createSentJob('a', 8, 1_000), 0);
       await jest.advanceTimersByTimeAsync(100);
       worker.scaleCapacity(1 / 3);
@@ -136,12 +147,7 @@
 
     // The agent knows of the starts, but it and the other entry are new processes when the copy arrives.
     it('when agent and entry are killed and a copy of the job goes to another entry', async () => {
-      const simulation = DispatchSimulation.create(seed, 2, 2);
-      await jest.advanceTimersByTimeAsync(1_000);
-      const [worker] = simulation.workers;
-      if (!worker) return;
-      worker.lateDelaysMs = [4_200, 4_200];
-      worker.lateShares = { start: 1 };
+      const { simulation, worker } = await createLateStarts(seed, 2, 2, 4_200);
       void simulation.send(createSentJob('a', 8, 3_000), 0);
       await jest.advanceTimersByTimeAsync(100);
       worker.lateShares = {};
@@ -158,12 +164,7 @@
 
     // The agent has runs of the killed entry and can tell nobody of their starts while it is frozen.
     it('when the agent is frozen, its entry killed and the worker crashes', async () => {
-      const simulation = DispatchSimulation.create(seed, 2, 2);
-      await jest.advanceTimersByTimeAsync(1_000);
-      const [worker] = simulation.workers;
-      if (!worker) return;
-      worker.lateDelaysMs = [4_200, 4_200];
-      worker.lateShares = { start: 1 };
+      const { simulation, worker } = await createLateStarts(seed, 2, 2, 4_200);
       void simulation.send(createSentJob('a', 8, 3_000), 0);
       await jest.advanceTimersByTimeAsync(100);
       worker.lateShares = {};
