Fix: an entry that stops takes no jobs shortly before its end

Once the load balancer has had the time to notice, the entry closes idle connections and refuses new jobs, and at the timeout it answers the remaining jobs.

--- a/marjorammast-app/src/dispatchEntry.ts
+++ b/marjorammast-app/src/dispatchEntry.ts
@@ -67,13 +67,15 @@
     Math.round(mirror.answerAgeMs),
   );
   await serveHttp(createReadinessHttp(entry), readiness);
-  await serveHttp(createClientHttp(entry, log), clients);
+  const clientServer = await serveHttp(createClientHttp(entry, log), clients);
   await serveMetrics(metrics, settings.metrics);
   const rpcServer = await listen(rpc, entry.server, traffic);
   const address = settings.advertisedRpc ?? rpc;
   void registerProcess(platformStore, 'entries', { name, address, dataCenter }, log);
   log.info({ clients, dataCenter, pid: process.pid }, 'started');
   stopOnSignal(log, async () => {
+    // Closes the idle connections too, so that their clients send the next job to another entry.
+    setTimeout(() => clientServer.close(), READINESS_NOTICE_MS);
     await entry.stop(READINESS_NOTICE_MS, stopTimeoutMs);
     mirror.stop();
     rpcServer.close();
--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -14,6 +14,7 @@
 import type { AgentConnectionHost } from './AgentConnection';
 import { BoundTaskNotices } from './BoundTaskNotices';
 import {
+  BOUND_NOTICE_WAIT_MS,
   DEADLINE_MARGIN_MS,
   DIALS_AT_ONCE,
   DIAL_INTERVAL_MS,
@@ -101,6 +102,9 @@
 
   private isDraining = false;
 
+  /** True once a stopping entry takes no new jobs: the load balancer has had the time to notice. */
+  private isClosed = false;
+
   private constructor(private readonly options: DispatchEntryOptions) {
     this.server = this.createServer();
     this.rankOf = createAgentRanking(options.name);
@@ -233,6 +237,7 @@
     const { job: request, route } = submission;
     const startedAt = performance.now();
     const outcome =
+      this.refuseIfClosed(request) ??
       this.refuseUnsupported(request) ??
       this.crashes.findFailure(request.id) ??
       (await this.runJob(submission));
@@ -278,10 +283,11 @@
   }
 
   /**
-   * Stops gracefully: waits until the active jobs are answered.
+   * Stops gracefully: waits until the active jobs are answered. After the timeout the others are answered as
+   * unfinished, or as refused if nothing of them has run, so that no connection ends without an answer.
    *
    * @param balancerDelayMs - time that the load balancer needs to notice that the entry is not
-   * ready, in milliseconds; the entry keeps serving during this time
+   * ready, in milliseconds; the entry accepts jobs during this time
    * @param timeoutMs - longest time to wait, in milliseconds
    */
   async stop(balancerDelayMs: number, timeoutMs: number): Promise<void> {
@@ -292,7 +298,9 @@
     const isBusy = () => this.jobs.size > 0 || this.boundTaskNotices.isSending;
     while ((isBusy() || elapsed() < balancerDelayMs) && elapsed() < timeoutMs) {
       await sleep(STOP_POLL_PERIOD_MS);
+      this.isClosed = elapsed() >= balancerDelayMs;
     }
+    await this.answerRemainingJobs();
     this.halt();
   }
 
@@ -304,6 +312,21 @@
     this.connections.forEach((connection) => connection.close());
   }
 
+  private async answerRemainingJobs(): Promise<void> {
+    this.isClosed = true;
+    if (this.jobs.size === 0) return;
+    this.options.log.warn({ jobs: this.jobs.size }, 'stop_timeout');
+    this.jobs.forEach(({ job }) => this.settleUnanswered(job, 'stopping'));
+    // Some notices of bound tasks go out before the answers.
+    await sleep(BOUND_NOTICE_WAIT_MS + STOP_POLL_PERIOD_MS);
+  }
+
+  /** A client that sends a job again still gets the answer to the job that is active. */
+  private refuseIfClosed({ id }: JobRequest): JobOutcome | undefined {
+    if (!this.isClosed || this.jobs.has(id)) return undefined;
+    return { type: 'refused', reason: 'stopping', retryAfterMs: MIN_RETRY_AFTER_MS };
+  }
+
   private createServer(): CallServer {
     const findByLink = (link: Link) =>
       [...this.connections.values()].find((connection) => connection.usesLink(link));
@@ -432,7 +455,7 @@
   /** Waits until a job has ended, by its deadline at the latest, and removes it. Returns the answer. */
   private async endJob(job: ActiveJob, remainingMs: number): Promise<JobOutcome> {
     const timer = setTimeout(
-      () => this.settleAtDeadline(job),
+      () => this.settleUnanswered(job, 'deadline'),
       Math.max(0, remainingMs - DEADLINE_MARGIN_MS),
     );
     const outcome = await job.waitForOutcome();
@@ -447,8 +470,8 @@
     return outcome;
   }
 
-  private settleAtDeadline(job: ActiveJob): void {
-    if (job.isCommitted) job.settle({ type: 'unfinished', reason: 'deadline' });
+  private settleUnanswered(job: ActiveJob, reason: 'deadline' | 'stopping'): void {
+    if (job.isCommitted) job.settle({ type: 'unfinished', reason });
     else job.settle({ type: 'refused', reason: 'noRoom', retryAfterMs: MIN_RETRY_AFTER_MS });
   }
 
--- a/packages/dispatch/src/job.ts
+++ b/packages/dispatch/src/job.ts
@@ -59,7 +59,7 @@
   | { type: 'unknownRoute' };
 
 /** Why a job was refused. */
-export type RefusalReason = 'notSupported' | 'tooLarge' | 'noRoom' | 'noWorkers';
+export type RefusalReason = 'notSupported' | 'tooLarge' | 'noRoom' | 'noWorkers' | 'stopping';
 
 /**
  * Finds a feature that a job uses and that is not supported yet.
