DispatchDeployment: options of node for the daemons, and the address of an endpoint

Tests of untrusted clients start the daemons with the memory options of the platform and send bytes to each port. So far the daemons ran with the default heap and the addresses were private.

--- a/marjorammast-app/src/local/DispatchDeployment.ts
+++ b/marjorammast-app/src/local/DispatchDeployment.ts
@@ -82,6 +82,9 @@
  */
 export type AddressResolver = (from: string, endpoint: string, address: string) => Promise<string>;
 
+/** Options of `node` for each program, such as `--max-old-space-size=160`. */
+export type NodeOptions = Partial<Record<'dispatchEntry' | 'gateAgent', readonly string[]>>;
+
 const resolveDirectly: AddressResolver = (_from, _endpoint, address) => Promise.resolve(address);
 
 /**
@@ -112,6 +115,7 @@
     private readonly entryCount: number,
     private readonly workerCount: number,
     private readonly resolveAddress: AddressResolver,
+    private readonly nodeOptions: NodeOptions,
   ) {}
 
   /**
@@ -120,6 +124,7 @@
    * @param entryCount - number of entries
    * @param workerCount - number of workers, each with an agent
    * @param resolveAddress - returns the addresses at which the processes reach each other
+   * @param nodeOptions - options of `node` for the daemons
    * @returns the running deployment
    * @throws Error when the deployment is not ready in time
    */
@@ -127,8 +132,9 @@
     entryCount: number,
     workerCount: number,
     resolveAddress: AddressResolver = resolveDirectly,
+    nodeOptions: NodeOptions = {},
   ): Promise<DispatchDeployment> {
-    const deployment = new DispatchDeployment(entryCount, workerCount, resolveAddress);
+    const deployment = new DispatchDeployment(entryCount, workerCount, resolveAddress, nodeOptions);
     try {
       await deployment.start();
       return deployment;
@@ -248,6 +254,18 @@
     };
   }
 
+  /**
+   * Returns the address of an endpoint, which stays the same over restarts.
+   *
+   * @param endpoint - name of the endpoint, such as `entry-0-clients`
+   * @returns host and port
+   */
+  async addressOf(endpoint: string): Promise<string> {
+    const port = this.ports.get(endpoint) ?? (await localPorts.next());
+    this.ports.set(endpoint, port);
+    return `127.0.0.1:${port}`;
+  }
+
   /**
    * Waits until a condition holds.
    *
@@ -378,17 +396,13 @@
     return this.resolveAddress(from, endpoint, await this.addressOf(endpoint));
   }
 
-  private async addressOf(endpoint: string): Promise<string> {
-    const port = this.ports.get(endpoint) ?? (await localPorts.next());
-    this.ports.set(endpoint, port);
-    return `127.0.0.1:${port}`;
-  }
-
-  private launch(program: string, name: string, settings: object): Daemon {
+  private launch(program: keyof NodeOptions, name: string, settings: object): Daemon {
     const file = join(this.folder, `${name}.jsonc`);
     writeFileSync(file, JSON.stringify(settings, undefined, 2));
     const log = openSync(join(this.folder, `${name}.log`), 'a');
-    const child = spawn(process.execPath, [join(BUNDLE_FOLDER, `${program}.js`), file], {
+    const options = this.nodeOptions[program] ?? [];
+    const bundle = join(BUNDLE_FOLDER, `${program}.js`);
+    const child = spawn(process.execPath, [...options, bundle, file], {
       stdio: ['ignore', log, log],
     });
     return { name, process: child };
