Feature: an entry with too little processor time forwards new jobs to others

Cause: an entry spends about 3.7 ms of processor time on a job, so that two entries of 0.324 cores limit a whole data centre while entries elsewhere have time.

Change: with the setting forwarding, an entry measures its utilization in windows of 200 ms and forwards a part of its new jobs to at most four others, before any task is assigned. The receiver runs such a job as its own; the sender keeps the client's connection. Messages forward, withdraw and heartbeat; loss of either side ends the job at both. Without the setting nothing changes.

--- a/marjorammast-app/src/dispatchEntry.ts
+++ b/marjorammast-app/src/dispatchEntry.ts
@@ -1,4 +1,4 @@
-import { DispatchEntry } from '@marjorammast/dispatch';
+import { DispatchEntry, readProcessUsage } from '@marjorammast/dispatch';
 import {
   createClientHttp,
   createPlatformStore,
@@ -30,6 +30,8 @@
     'outcome',
   ]);
   const traffic = { sentBytes: 0, receivedBytes: 0, messages: 0 };
+  const forwarded = metrics.counter('marjorammast_forwarded', 'Jobs forwarded', ['answer']);
+  const { forwarding, processorCores } = settings;
   const entry = DispatchEntry.create({
     name,
     dataCenter,
@@ -37,12 +39,21 @@
     random: Math.random,
     log,
     meter: { answered: (route, outcome, ms) => answerTimes.observe({ route, outcome }, ms) },
+    forwarding: forwarding && {
+      ...forwarding,
+      processorCores: processorCores.cores * processorCores.share,
+      readUsage: readProcessUsage,
+      meter: (answer) => forwarded.inc({ answer }),
+    },
   });
   metrics.gauge('marjorammast_open_jobs', 'Jobs without an answer', () => entry.openJobs);
   metrics.gauge('marjorammast_queued_jobs', 'Jobs that wait', () => entry.dispatcher.queuedJobs);
   metrics.gauge('marjorammast_runs', 'Runs not ended', () => entry.dispatcher.outstandingRuns);
   metrics.gauge('marjorammast_agents', 'Agents attached', () => entry.attachedAgents);
   metrics.gauge('marjorammast_open_workers', 'Workers that take work', () => entry.openWorkers);
+  metrics.gauge('marjorammast_utilization', 'Processor time in use, 0 to 1', () =>
+    entry.utilization === undefined ? NaN : entry.utilization,
+  );
   const platformStore = createPlatformStore(store, log);
   const decodeOperatorState = createOperatorStateDecoder(log);
   const decodeRegistrations = createRegistrationDecoder((key) =>
--- a/marjorammast-app/src/local/DispatchDeployment.ts
+++ b/marjorammast-app/src/local/DispatchDeployment.ts
@@ -112,6 +112,7 @@
     private readonly entryCount: number,
     private readonly workerCount: number,
     private readonly resolveAddress: AddressResolver,
+    private readonly entryFields: (index: number) => object,
   ) {}
 
   /**
@@ -120,6 +121,7 @@
    * @param entryCount - number of entries
    * @param workerCount - number of workers, each with an agent
    * @param resolveAddress - returns the addresses at which the processes reach each other
+   * @param entryFields - settings of an entry, beside those that all entries have
    * @returns the running deployment
    * @throws Error when the deployment is not ready in time
    */
@@ -127,8 +129,9 @@
     entryCount: number,
     workerCount: number,
     resolveAddress: AddressResolver = resolveDirectly,
+    entryFields: (index: number) => object = () => ({}),
   ): Promise<DispatchDeployment> {
-    const deployment = new DispatchDeployment(entryCount, workerCount, resolveAddress);
+    const deployment = new DispatchDeployment(entryCount, workerCount, resolveAddress, entryFields);
     try {
       await deployment.start();
       return deployment;
@@ -166,6 +169,7 @@
       metrics: await this.addressOf(`${name}-metrics`),
       store: await this.resolvedAddressOf(name, 'store'),
       stopTimeoutMs: 5_000,
+      ...this.entryFields(index),
     });
   }
 
--- a/packages/dispatch/src/ActiveJob.ts
+++ b/packages/dispatch/src/ActiveJob.ts
@@ -20,7 +20,8 @@
 
 /** A job that this entry has accepted and not answered. */
 export class ActiveJob {
-  readonly tasks: Task[];
+  /** Built when they are needed: an entry that forwards the job has no use for them. */
+  private builtTasks: Task[] | undefined;
 
   /** Monotonic time of arrival, in milliseconds. */
   readonly arrivedAt = performance.now();
@@ -28,6 +29,15 @@
   /** True once an agent has admitted a run, or a run may have started after a failed assignment. */
   mayHaveRun = false;
 
+  /** Name of the entry to which the job was forwarded, unless that entry has declined it. */
+  forwardedTo: string | undefined;
+
+  /** Monotonic time before which no task may start, in milliseconds. */
+  notBefore = 0;
+
+  /** Tell for each submission of the job whether it is still wanted for certain. */
+  readonly startGuards = new Set<() => boolean>();
+
   private doneCount = 0;
 
   private readonly waiters: ((outcome: JobOutcome) => void)[] = [];
@@ -40,14 +50,7 @@
     readonly step: Step,
     /** Monotonic time of the client's deadline, in milliseconds. */
     readonly deadlineAt: number,
-  ) {
-    this.tasks = Array.from({ length: step.count }, () => ({
-      state: { type: 'waiting' },
-      run: 0,
-      failures: 0,
-      avoidedAgents: new Set<string>(),
-    }));
-  }
+  ) {}
 
   /**
    * @param request - the job as the client submitted it
@@ -65,6 +68,23 @@
     return this.request.id;
   }
 
+  /** The tasks by their index. */
+  get tasks(): Task[] {
+    this.builtTasks ??= Array.from({ length: this.step.count }, () => ({
+      state: { type: 'waiting' },
+      run: 0,
+      failures: 0,
+      avoidedAgents: new Set<string>(),
+    }));
+    return this.builtTasks;
+  }
+
+  /** False while it is not certain that the job is wanted, or while earlier runs of it may be active elsewhere. */
+  get mayStart(): boolean {
+    if (performance.now() < this.notBefore) return false;
+    return this.startGuards.size === 0 || [...this.startGuards].some((isWanted) => isWanted());
+  }
+
   /** True until the job is answered. */
   get isOpen(): boolean {
     return this.outcome === undefined;
@@ -94,12 +114,13 @@
    * nothing had run.
    */
   get isCommitted(): boolean {
-    return this.mayHaveRun || this.tasks.some(({ state }) => state.type === 'assigned');
+    if (this.mayHaveRun || this.forwardedTo !== undefined) return true;
+    return this.tasks.some(({ state }) => state.type === 'assigned');
   }
 
   /** Names of the agents to which runs of the job are assigned. */
   get agents(): string[] {
-    const names = this.tasks.flatMap(({ state }) =>
+    const names = (this.builtTasks ?? []).flatMap(({ state }) =>
       state.type === 'assigned' ? [state.agent] : [],
     );
     return [...new Set(names)];
--- a/packages/dispatch/src/CrashController.ts
+++ b/packages/dispatch/src/CrashController.ts
@@ -88,6 +88,8 @@
   private giveUp({ job, index, route }: CrashingTask): void {
     this.confine(route);
     const active = this.host.findJob(job);
+    // The entry to which the job was forwarded decides.
+    if (active?.forwardedTo !== undefined) return;
     // The crash may become known only after another run of the task has succeeded.
     if (active?.tasks[index]?.state.type === 'done') return;
     this.host.log.warn({ job, index, route, own: active !== undefined }, 'task_given_up');
--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -24,6 +24,8 @@
 import { chooseAgents, createAgentRanking } from './chooseAgents';
 import { Dispatcher } from './Dispatcher';
 import { findRoute } from './findRoute';
+import { Forwarding } from './Forwarding';
+import type { ForwardingOptions } from './Forwarding';
 import { unsupportedFeature } from './job';
 import type { JobOutcome, JobRequest } from './job';
 import { PeerClient } from './PeerClient';
@@ -40,6 +42,8 @@
   random: () => number;
   log: Log;
   meter: EntryMeter;
+  /** How jobs are forwarded between entries; absent when they are not. */
+  forwarding?: ForwardingOptions;
 };
 
 /** A job that a client submits to a route. */
@@ -50,10 +54,18 @@
   remainingMs: number;
   /** Aborts when the client disconnects before it gets an answer. */
   signal: AbortSignal;
+  /** Set for a job that another entry has forwarded: true while that entry certainly wants it. */
+  mayStart?: () => boolean;
 };
 
-/** A job that has not been answered, with the number of clients that wait for it. */
-type AcceptedJob = { job: ActiveJob; waiters: number; answer: Promise<JobOutcome> };
+/** A job that has not been answered, with the number of clients and other entries that wait for it. */
+type AcceptedJob = {
+  job: ActiveJob;
+  waiters: number;
+  /** True once a client of this entry has submitted it. */
+  isOwn: boolean;
+  answer: Promise<JobOutcome>;
+};
 
 /** Time between two checks whether a stopping entry has answered its jobs, in milliseconds. */
 const STOP_POLL_PERIOD_MS = 25;
@@ -93,6 +105,10 @@
 
   private readonly boundTaskNotices: BoundTaskNotices;
 
+  private readonly forwarding: Forwarding | undefined;
+
+  private registeredPeers: readonly RegisteredProcess[] = [];
+
   private readonly crashes: CrashController;
 
   /** Highest store revision of the operator state that another process has reported. */
@@ -106,6 +122,7 @@
   private isClosed = false;
 
   private constructor(private readonly options: DispatchEntryOptions) {
+    this.forwarding = options.forwarding && this.createForwarding(options.forwarding);
     this.server = this.createServer();
     this.rankOf = createAgentRanking(options.name);
     this.crashes = CrashController.create({
@@ -203,7 +220,9 @@
    * @param peers - all entries registered in the store
    */
   updatePeers(peers: readonly RegisteredProcess[]): void {
+    this.registeredPeers = peers;
     this.peerClient.updatePeers(peers);
+    this.forwarding?.sender.updatePeers(peers, this.rules.outDataCenters);
   }
 
   /**
@@ -234,7 +253,7 @@
    * @returns the outcome
    */
   async submit(submission: Submission): Promise<JobOutcome> {
-    const { job: request, route } = submission;
+    const { job: request, route, mayStart } = submission;
     const startedAt = performance.now();
     const outcome =
       this.refuseIfClosed(request) ??
@@ -242,7 +261,8 @@
       this.crashes.findFailure(request.id) ??
       (await this.runJob(submission));
     const ms = performance.now() - startedAt;
-    this.options.meter.answered(route.name, outcome.type, ms);
+    // The entry that has forwarded a job counts it.
+    if (!mayStart) this.options.meter.answered(route.name, outcome.type, ms);
     const reason = 'reason' in outcome ? outcome.reason : undefined;
     this.options.log.info(
       { job: request.id, route: route.name, outcome: outcome.type, reason, ms: Math.round(ms) },
@@ -278,7 +298,8 @@
    * after a failed assignment
    */
   countPending(route: Route): number {
-    const jobs = [...this.jobs.values()].map(({ job }) => job);
+    // The entry that has forwarded a job counts it.
+    const jobs = [...this.jobs.values()].filter(({ isOwn }) => isOwn).map(({ job }) => job);
     return jobs.filter((job) => job.route.name === route.name && !job.mayHaveRun).length;
   }
 
@@ -309,6 +330,7 @@
     this.isDraining = true;
     this.dispatcher.halt();
     this.boundTaskNotices.halt();
+    this.forwarding?.halt();
     this.connections.forEach((connection) => connection.close());
   }
 
@@ -327,6 +349,37 @@
     return { type: 'refused', reason: 'stopping', retryAfterMs: MIN_RETRY_AFTER_MS };
   }
 
+  /** Utilization of the entry, from 0 to 1; `undefined` when jobs are not forwarded. */
+  get utilization(): number | undefined {
+    return this.forwarding?.load.utilization;
+  }
+
+  private createForwarding(options: ForwardingOptions): Forwarding {
+    const { name, dataCenter, dial, random, log } = this.options;
+    return Forwarding.create(options, {
+      entry: name,
+      dataCenter,
+      dial: (address) => dial(address, this.server),
+      findRoute: (route) => this.operatorState?.routes.find((other) => other.name === route),
+      version: () => this.operatorState?.version ?? 0,
+      findObstacle: (route) => this.findObstacle(route),
+      isStopping: () => this.isDraining,
+      isForwarded: (id) => this.jobs.get(id)?.job.forwardedTo !== undefined,
+      isPending: (id) => this.jobs.get(id)?.job.mayHaveRun === false,
+      run: (submission) => this.submit(submission),
+      random,
+      log,
+    });
+  }
+
+  /** Tells why this entry can't run jobs of other entries. */
+  private findObstacle({ service }: Route): 'stopping' | 'workers' | undefined {
+    if (this.isDraining) return 'stopping';
+    const views = [...this.connections.values()].map(({ view }) => view);
+    const hasWorkers = views.some((view) => view?.service === service && view.state !== 'closed');
+    return hasWorkers ? undefined : 'workers';
+  }
+
   private createServer(): CallServer {
     const findByLink = (link: Link) =>
       [...this.connections.values()].find((connection) => connection.usesLink(link));
@@ -357,6 +410,7 @@
           return {};
         },
         operatorState: () => ({ state: this.operatorState }),
+        ...this.forwarding?.handlers,
         rules: (rules) => {
           this.applyRules(rules);
           void this.catchUp(rules.revision);
@@ -372,6 +426,7 @@
     this.rules = rules;
     this.connections.forEach((connection) => connection.sendRules(rules));
     this.chooseAgents();
+    this.forwarding?.sender.updatePeers(this.registeredPeers, rules.outDataCenters);
     this.dispatcher.schedulePass();
   }
 
@@ -405,20 +460,20 @@
     return undefined;
   }
 
-  private async runJob({
-    job: request,
-    route,
-    remainingMs,
-    signal,
-  }: Submission): Promise<JobOutcome> {
+  private async runJob(submission: Submission): Promise<JobOutcome> {
+    const { job: request, signal, mayStart } = submission;
     if (signal.aborted) return { type: 'unfinished', reason: CLIENT_LEFT };
-    const active = this.jobs.get(request.id) ?? this.accept(request, route, remainingMs);
+    const active = this.jobs.get(request.id) ?? this.accept(submission);
     // A job without tasks is complete at once.
     if (!active) return { type: 'completed' };
     active.waiters += 1;
+    active.isOwn ||= mayStart === undefined;
     const { job } = active;
+    const guard = mayStart ?? (() => true);
+    job.startGuards.add(guard);
     const onDisconnect = () => {
       active.waiters -= 1;
+      job.startGuards.delete(guard);
       if (active.waiters === 0) job.settle({ type: 'unfinished', reason: CLIENT_LEFT });
     };
     signal.addEventListener('abort', onDisconnect, { once: true });
@@ -428,12 +483,27 @@
   }
 
   /** Accepts a new job. Returns `undefined` for a job without tasks. */
-  private accept(request: JobRequest, route: Route, remainingMs: number): AcceptedJob | undefined {
+  private accept({ job: request, ...submission }: Submission): AcceptedJob | undefined {
+    const { route, remainingMs, mayStart } = submission;
     const [step] = request.steps;
     if (!step || step.count === 0) return undefined;
     const job = ActiveJob.create(request, route, step, remainingMs);
-    const active = { job, waiters: 0, answer: this.endJob(job, remainingMs) };
+    const active = { job, waiters: 0, isOwn: false, answer: this.endJob(job, remainingMs) };
     this.jobs.set(request.id, active);
+    job.notBefore = this.forwarding?.sender.earlierRunsUntil(job.id) ?? 0;
+    if (mayStart || !this.tryForward(job)) this.run(job);
+    return active;
+  }
+
+  private tryForward(job: ActiveJob): boolean {
+    const { dispatcher, forwarding, operatorState } = this;
+    if (!forwarding || !operatorState || this.isDraining) return false;
+    if (dispatcher.hasEarlierRuns(job) || dispatcher.isBound(job.id)) return false;
+    return forwarding.sender.tryForward(job, operatorState.version, () => this.run(job));
+  }
+
+  private run(job: ActiveJob): void {
+    const { request, route, step, deadlineAt } = job;
     this.options.log.info(
       {
         job: request.id,
@@ -442,14 +512,13 @@
         tasks: step.count,
         estimateMs: step.estimateMs,
         cpu: step.needs.cpu,
-        leftMs: Math.round(remainingMs),
+        leftMs: Math.round(deadlineAt - performance.now()),
         queued: this.dispatcher.queuedJobs,
         hasEarlierRuns: this.dispatcher.hasEarlierRuns(job) || undefined,
       },
       'job_accepted',
     );
     this.dispatcher.add(job);
-    return active;
   }
 
   /** Waits until a job has ended, by its deadline at the latest, and removes it. Returns the answer. */
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -191,6 +191,14 @@
     this.queue.forEach((job) => this.commitIfBound(job));
   }
 
+  /**
+   * @param job - identifier of a job
+   * @returns true while tasks of it are bound to workers
+   */
+  isBound(job: string): boolean {
+    return this.boundTasks.has(job) || this.toldBoundTasks.has(job);
+  }
+
   /**
    * @param job - identifier of a job
    * @returns its bound tasks that other entries may not know of
@@ -250,10 +258,6 @@
     if (this.isBound(job.id)) job.mayHaveRun = true;
   }
 
-  private isBound(job: string): boolean {
-    return this.boundTasks.has(job) || this.toldBoundTasks.has(job);
-  }
-
   /** Binds the tasks of which a lost agent may have sent a start without an answer. Returns their number. */
   private bindUnsettled(
     agent: string,
@@ -361,7 +365,7 @@
 
   private placeJob(job: ActiveJob, rooms: WorkerRooms, load: PassLoad): void {
     this.refuseIfHopeless(job, rooms);
-    if (!job.isOpen || this.hasEarlierRuns(job)) return;
+    if (!job.isOpen || !job.mayStart || this.hasEarlierRuns(job)) return;
     const { step, objectiveAt } = job;
     const { crashRecords } = this.host;
     const waitingBefore = job.waitingTasks.length;
--- /dev/null
+++ b/packages/dispatch/src/chooseForwarding.ts
@@ -0,0 +1,143 @@
+import type { EntryLoadReport, RegisteredProcess } from '@marjorammast/protocol';
+import { compareText } from './chooseAgents';
+
+/** Marks of the utilization between which the forwarded share is kept. */
+export type UtilizationMarks = {
+  /** Utilization above which a rising part of the new jobs is forwarded. */
+  highUtilization: number;
+  /** Utilization below which that part falls. */
+  lowUtilization: number;
+};
+
+/** An entry to which jobs can be forwarded. */
+export type Receiver = {
+  name: string;
+  dataCenter: string;
+  load: EntryLoadReport;
+  /** Processor time of the jobs that were forwarded to it since it has reported its load, in cores. */
+  reservedCores: number;
+};
+
+/** Utilization from which the load may be any amount above what the processor can do. */
+const SATURATED_UTILIZATION = 0.95;
+
+/** Factor by which the kept share falls in each window in which the processor is saturated. */
+const SATURATED_FACTOR = 0.6;
+
+/** Largest change of the kept share in a window in which it rises, so that the load returns slowly. */
+const MAX_RETURN_PER_WINDOW = 0.05;
+
+/** Largest part of the new jobs that is forwarded: the rest shows how much the entry could take. */
+const MAX_FORWARDED_SHARE = 0.95;
+
+/** Share below which forwarding ends. */
+const MIN_FORWARDED_SHARE = 0.01;
+
+/** An event loop uses one core at most, however many the VM has. */
+const MAX_LOOP_CORES = 1;
+
+/**
+ * Chooses the part of the new jobs that an entry forwards. Load pattern: clients are spread unevenly over unlike
+ * entries, so that the processor of one is at its limit while others have time. The kept share follows the
+ * utilization in proportion, falls fast under overload, before jobs miss their objectives, and rises slowly, so that
+ * the load does not swing between entries.
+ *
+ * @param share - the part of the last window, from 0 to 1
+ * @param utilization - utilization of the entry, from 0 to 1
+ * @param marks - the marks of the utilization
+ * @returns the part of the next window, from 0 to 1
+ */
+export const nextForwardedShare = (
+  share: number,
+  utilization: number,
+  { highUtilization, lowUtilization }: UtilizationMarks,
+): number => {
+  const kept = 1 - share;
+  if (utilization >= lowUtilization && utilization <= highUtilization) return share;
+  if (utilization > highUtilization) {
+    const isSaturated = utilization >= SATURATED_UTILIZATION;
+    const factor = isSaturated ? SATURATED_FACTOR : highUtilization / utilization;
+    return Math.min(MAX_FORWARDED_SHARE, 1 - kept * factor);
+  }
+  const goal = (highUtilization + lowUtilization) / 2;
+  const fitting = (kept * goal) / Math.max(utilization, 0.01);
+  const next = 1 - Math.min(fitting, kept + MAX_RETURN_PER_WINDOW);
+  return next < MIN_FORWARDED_SHARE ? 0 : next;
+};
+
+/**
+ * @param marks - the marks of the utilization
+ * @returns the utilization below which an entry accepts jobs of others. It is below the high mark, so that jobs of
+ * others do not make it forward its own.
+ */
+export const acceptanceMark = ({ highUtilization, lowUtilization }: UtilizationMarks): number =>
+  (highUtilization + lowUtilization) / 2;
+
+/** Processor time of an entry that jobs of others may use, in cores. */
+const spareCores = ({ load, reservedCores }: Receiver, mark: number): number => {
+  const cores = Math.min(MAX_LOOP_CORES, load.processorCores);
+  return load.accepts ? cores * (mark - load.utilization) - reservedCores : 0;
+};
+
+/**
+ * Chooses the receiver of a job by chance, weighted by spare processor time: several senders see the same report. Those of the
+ * sender's data centre come first.
+ *
+ * @param receivers - the entries that may be asked
+ * @param dataCenter - data centre of the sender
+ * @param marks - the marks of the utilization
+ * @param random - uniform random number in [0, 1)
+ * @returns name of the receiver, or `undefined` when none has time to spare
+ */
+export const chooseReceiver = (
+  receivers: readonly Receiver[],
+  dataCenter: string,
+  marks: UtilizationMarks,
+  random: number,
+): string | undefined => {
+  const mark = acceptanceMark(marks);
+  const spare = receivers
+    .map((receiver) => ({ receiver, cores: spareCores(receiver, mark) }))
+    .filter(({ cores }) => cores > 0);
+  const near = spare.filter(({ receiver }) => receiver.dataCenter === dataCenter);
+  const candidates = near.length > 0 ? near : spare;
+  const total = candidates.reduce((sum, { cores }) => sum + cores, 0);
+  let left = random * total;
+  const chosen = candidates.find(({ cores }) => {
+    left -= cores;
+    return left < 0;
+  });
+  return chosen?.receiver.name;
+};
+
+/**
+ * Chooses the entries to which an entry may forward jobs, so that the number of connections does not grow with the
+ * deployment. Half of them are of its own data centre and half of others, as all entries of one data centre may be short
+ * of processor time. Within each group they are ordered by rank (rendezvous hashing).
+ *
+ * @param peers - all other entries
+ * @param rankOf - rank of an entry for this one
+ * @param dataCenter - data centre of this entry
+ * @param evacuatedDataCenters - data centres that get no tasks; their entries get no jobs
+ * @param maxPeers - largest number of entries
+ * @returns the chosen entries
+ */
+export const choosePeers = (
+  peers: readonly RegisteredProcess[],
+  rankOf: (entry: string) => string,
+  dataCenter: string,
+  evacuatedDataCenters: readonly string[],
+  maxPeers: number,
+): RegisteredProcess[] => {
+  const ranked = peers
+    .filter((peer) => !evacuatedDataCenters.includes(peer.dataCenter))
+    .map((peer) => ({ peer, rank: rankOf(peer.name) }))
+    .sort((a, b) => compareText(a.rank, b.rank))
+    .map(({ peer }) => peer);
+  const near = ranked.filter((peer) => peer.dataCenter === dataCenter);
+  const far = ranked.filter((peer) => peer.dataCenter !== dataCenter);
+  const half = Math.ceil(maxPeers / 2);
+  const first = [...near.slice(0, half), ...far.slice(0, maxPeers - half)];
+  const others = [...near.slice(half), ...far.slice(maxPeers - half)];
+  return [...first, ...others].slice(0, maxPeers);
+};
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -136,3 +136,39 @@
 
 /** Time after which a client is told to retry when the service has no workers, in milliseconds. */
 export const NO_WORKERS_RETRY_AFTER_MS = 1_000;
+
+/** Window over which an entry measures its load, in milliseconds. */
+export const LOAD_WINDOW_MS = 200;
+
+/** Time between two heartbeats to an entry to which jobs may be forwarded, in milliseconds. */
+export const FORWARD_HEARTBEAT_MS = 160;
+
+/** Time allowed for the answer to a heartbeat, in milliseconds. */
+export const HEARTBEAT_TIMEOUT_MS = 350;
+
+/** Time without a heartbeat after which the jobs of a sender are aborted, in milliseconds. */
+export const SENDER_TIMEOUT_MS = 500;
+
+/** Age up to which a forwarded job is accepted, in milliseconds. */
+export const MAX_FORWARD_AGE_MS = 250;
+
+/**
+ * Time by which the receiver of a forwarded job ends it before the sender would, in milliseconds, so that its answer
+ * arrives in time.
+ */
+export const FORWARD_MARGIN_MS = 25;
+
+/** Shortest time to the client's deadline, beside the estimated run time, of a job that is forwarded, in milliseconds. */
+export const MIN_FORWARD_REMAINING_MS = 100;
+
+/** Time for which an entry that has declined a job gets no other, in milliseconds. */
+export const FORWARD_PAUSE_MS = 250;
+
+/** Time without need of a connection to another entry after which it is closed, in milliseconds. */
+export const FORWARD_IDLE_MS = 10_000;
+
+/**
+ * Processor time that a job costs the entry that runs it, in milliseconds; measured as 3.7 ms. It is charged to a
+ * receiver until its next report, so that one report does not attract more jobs than fit.
+ */
+export const JOB_COST_MS = 4;
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,4 +1,5 @@
 export * from './DispatchEntry';
+export { readProcessUsage } from './EntryLoad';
 export * from './findRoute';
 export * from './job';
 export * from './placeTasks';
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -4,6 +4,7 @@
 export * from './createId';
 export * from './dispatchMessages';
 export * from './environment';
+export * from './forwardMessages';
 export * from './resources';
 export * from './job';
 export * from './Link';
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -2,6 +2,7 @@
 import { clusterMapSchema } from './clusterMap';
 import { dispatchCallSchemas } from './dispatchMessages';
 import { releaseSchema, agentConfigurationSchema } from './environment';
+import { forwardCallSchemas } from './forwardMessages';
 import { answerSchema, submissionSchema } from './job';
 
 /** Single-use permission to start one task in one slot of an agent's target. */
@@ -152,6 +153,7 @@
  */
 export const callSchemas = {
   ...dispatchCallSchemas,
+  ...forwardCallSchemas,
   /** Agent to entry, first call on a connection: registers the agent. */
   hello: {
     params: z.object({
--- a/packages/settings/src/daemonSettings.ts
+++ b/packages/settings/src/daemonSettings.ts
@@ -58,11 +58,45 @@
   stopTimeoutMs: commonSettings.stopTimeoutMs,
 };
 
+const utilization = z.number().gt(0).lt(1);
+
+/** How an entry with too little processor time forwards jobs to others. */
+const forwardingSchema = z
+  .strictObject({
+    highUtilization: utilization
+      .default(0.7)
+      .describe(
+        'Utilization of the processor above which new jobs are forwarded to other entries.',
+      ),
+    lowUtilization: utilization
+      .default(0.5)
+      .describe('Utilization of the processor below which forwarding falls to none.'),
+    maxPeers: z
+      .number()
+      .int()
+      .positive()
+      .default(4)
+      .describe('Largest number of entries to which jobs are forwarded.'),
+  })
+  .refine(({ highUtilization, lowUtilization }) => lowUtilization < highUtilization, {
+    message: 'lowUtilization must be below highUtilization',
+  });
+
 /** Settings of the entry of the dispatch design, which sends tasks to the agents of workers. */
 export const dispatchSettingsSchema = z.strictObject({
   ...dispatchDaemonSettings,
   clients: address.describe('HTTP address for clients.'),
   readiness: address.describe('Address of the readiness endpoint for the load balancer.'),
+  forwarding: forwardingSchema
+    .optional()
+    .describe('Forwarding of jobs between entries; without it jobs are not forwarded.'),
+  processorCores: z
+    .strictObject({
+      cores: z.number().positive().describe('Number of cores of the VM.'),
+      share: z.number().positive().default(1).describe('Part of them that is available.'),
+    })
+    .default({ cores: 1, share: 1 })
+    .describe('Processor time that the process may use, as cores times share.'),
 });
 
 /** Settings of the agent of the dispatch design, which controls admission to one worker. */
