--- a/packages/dispatch/src/Forwarding.ts
+++ b/packages/dispatch/src/Forwarding.ts
@@ -37,19 +37,16 @@
 
 /** Both sides of forwarding, and the load of the entry that they share. */
 export class Forwarding {
-  private readonly timer: NodeJS.Timeout;
+  private timer: NodeJS.Timeout | undefined;
 
   private constructor(
     readonly load: EntryLoad,
     /** The sender's side. */
     readonly sender: JobForwarder,
     private readonly receiver: ForwardedJobs,
-    readUsage: () => ProcessUsage,
+    private readonly readUsage: () => ProcessUsage,
   ) {
-    this.timer = setInterval(() => {
-      load.update(readUsage());
-      sender.maintain();
-    }, LOAD_WINDOW_MS);
+    this.scheduleWindow();
   }
 
   /**
@@ -79,8 +76,16 @@
 
   /** Stops at once; the jobs of other entries end. */
   halt(): void {
-    clearInterval(this.timer);
+    clearTimeout(this.timer);
     this.sender.halt();
     this.receiver.halt();
   }
+
+  private scheduleWindow(): void {
+    this.timer = setTimeout(() => {
+      this.load.update(this.readUsage());
+      this.sender.maintain();
+      this.scheduleWindow();
+    }, LOAD_WINDOW_MS);
+  }
 }
--- a/packages/dispatch/src/chooseForwarding.ts
+++ b/packages/dispatch/src/chooseForwarding.ts
@@ -19,13 +19,16 @@
 };
 
 /** Utilization from which the load may be any amount above what the processor can do. */
-const SATURATED_UTILIZATION = 0.95;
+const SATURATED_UTILIZATION = 0.9;
 
 /** Factor by which the kept share falls in each window in which the processor is saturated. */
-const SATURATED_FACTOR = 0.6;
+const SATURATED_FACTOR = 0.45;
 
-/** Largest change of the kept share in a window in which it rises, so that the load returns slowly. */
-const MAX_RETURN_PER_WINDOW = 0.05;
+/** Fall of the forwarded share in each window with a utilization below the low mark. */
+const RETURN_PER_WINDOW = 0.05;
+
+/** The same between the low mark and the middle of the marks; above it the share is kept. */
+const SLOW_RETURN_PER_WINDOW = 0.015;
 
 /** Largest part of the new jobs that is forwarded: the rest shows how much the entry could take. */
 const MAX_FORWARDED_SHARE = 0.95;
@@ -39,8 +42,8 @@
 /**
  * Chooses the part of the new jobs that an entry forwards. Load pattern: clients are spread unevenly over unlike
  * entries, so that the processor of one is at its limit while others have time. The kept share follows the
- * utilization in proportion, falls fast under overload, before jobs miss their objectives, and rises slowly, so that
- * the load does not swing between entries.
+ * utilization in proportion above the high mark, falls faster when the processor is saturated, before jobs miss their
+ * objectives, and rises slowly, so that the load does not swing between entries.
  *
  * @param share - the part of the last window, from 0 to 1
  * @param utilization - utilization of the entry, from 0 to 1
@@ -53,15 +56,15 @@
   { highUtilization, lowUtilization }: UtilizationMarks,
 ): number => {
   const kept = 1 - share;
-  if (utilization >= lowUtilization && utilization <= highUtilization) return share;
   if (utilization > highUtilization) {
     const isSaturated = utilization >= SATURATED_UTILIZATION;
     const factor = isSaturated ? SATURATED_FACTOR : highUtilization / utilization;
     return Math.min(MAX_FORWARDED_SHARE, 1 - kept * factor);
   }
   const goal = (highUtilization + lowUtilization) / 2;
-  const fitting = (kept * goal) / Math.max(utilization, 0.01);
-  const next = 1 - Math.min(fitting, kept + MAX_RETURN_PER_WINDOW);
+  if (utilization >= goal) return share;
+  const step = utilization < lowUtilization ? RETURN_PER_WINDOW : SLOW_RETURN_PER_WINDOW;
+  const next = share - step;
   return next < MIN_FORWARDED_SHARE ? 0 : next;
 };
 
--- a/packages/proofs/tests/support/DispatchSimulation.ts
+++ b/packages/proofs/tests/support/DispatchSimulation.ts
@@ -1,7 +1,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { DispatchEntry } from '@marjorammast/dispatch';
-import type { JobOutcome } from '@marjorammast/dispatch';
+import type { DispatchEntryOptions, JobOutcome } from '@marjorammast/dispatch';
 import { GateAgent } from '@marjorammast/gate';
 import type { WorkerIdentity, WorkerReport } from '@marjorammast/gate';
 import { sleep } from '@marjorammast/protocol';
@@ -90,6 +90,9 @@
   /** Every answer that a client received. */
   readonly answers: ObservedAnswer[] = [];
 
+  /** Number of forwarded jobs by how they were answered. */
+  readonly forwardAnswers: Record<string, number> = {};
+
   readonly network: Network;
 
   readonly workers: MemoryWorker[];
@@ -114,7 +117,13 @@
 
   private isHalted = false;
 
-  private constructor(seed: number, entryCount: number, agentCount: number, cpu: number) {
+  private constructor(
+    seed: number,
+    entryCount: number,
+    agentCount: number,
+    cpu: number,
+    private readonly utilizations: readonly number[] | undefined,
+  ) {
     this.random = createRandom(seed);
     this.network = Network.create(this.random);
     const capacity = { cpu, memoryMb: 1_000, accelerators: 0 };
@@ -140,6 +149,7 @@
    * @param entryCount - number of entries
    * @param agentCount - number of agents, each with one worker
    * @param cpu - CPU capacity of each worker, in thousandths of a core
+   * @param utilizations - utilization of each entry, which forward jobs then; they do not if absent
    * @returns the running simulation
    */
   static create(
@@ -147,8 +157,9 @@
     entryCount: number,
     agentCount: number,
     cpu = 3_000,
+    utilizations?: readonly number[],
   ): DispatchSimulation {
-    return new DispatchSimulation(seed, entryCount, agentCount, cpu);
+    return new DispatchSimulation(seed, entryCount, agentCount, cpu, utilizations);
   }
 
   /** Halts all entries and agents. */
@@ -203,6 +214,14 @@
   startEntry(index: number): void {
     if (this.entries[index]?.isAlive) return;
     const name = `entry-${index}`;
+    // Entries that forward jobs are paused as processes are, so that their timers wait too.
+    const timers = this.utilizations && createProcessTimers();
+    if (timers) this.network.setTimers(name, timers);
+    const node = runInProcess(timers, () => this.createEntry(name, index));
+    this.entries[index] = { name, node, isAlive: true, timers };
+  }
+
+  private createEntry(name: string, index: number): DispatchEntry {
     const node = DispatchEntry.create({
       name,
       dataCenter: this.dataCenterOf(index),
@@ -210,6 +229,7 @@
       random: this.random,
       log: this.log,
       meter: { answered: () => undefined },
+      forwarding: this.createForwarding(index),
     });
     this.network.listen(name, node.server);
     node.updatePeers(
@@ -227,7 +247,25 @@
         dataCenter: this.dataCenterOf(agent),
       })),
     );
-    this.entries[index] = { name, node, isAlive: true };
+    return node;
+  }
+
+  private createForwarding(index: number): DispatchEntryOptions['forwarding'] {
+    const utilization = this.utilizations?.[index];
+    if (utilization === undefined) return undefined;
+    return {
+      highUtilization: 0.7,
+      lowUtilization: 0.5,
+      maxPeers: 4,
+      processorCores: 1,
+      readUsage: () => {
+        const now = performance.now();
+        return { activeMs: now * utilization, idleMs: now * (1 - utilization), processorMs: 0 };
+      },
+      meter: (answer) => {
+        this.forwardAnswers[answer] = (this.forwardAnswers[answer] ?? 0) + 1;
+      },
+    };
   }
 
   /** Kills an agent; its worker keeps running. */
@@ -305,7 +343,7 @@
     if (!route) return undefined;
     const client = new AbortController();
     const isConnectionLost = () => client.signal.aborted || !entry.isAlive;
-    const answered = entry.node.submit({
+    const submission = {
       route,
       remainingMs: job.deadlineMs ?? CLIENT_DEADLINE_MS,
       signal: client.signal,
@@ -325,7 +363,8 @@
           },
         ],
       },
-    });
+    };
+    const answered = runInProcess(entry.timers, () => entry.node.submit(submission));
     const until = performance.now() + (giveUpMs ?? job.deadlineMs ?? CLIENT_DEADLINE_MS);
     let outcome: JobOutcome | undefined;
     void answered.then((value) => {
--- a/packages/proofs/tests/support/dispatchSchedule.ts
+++ b/packages/proofs/tests/support/dispatchSchedule.ts
@@ -15,6 +15,12 @@
     | 'cutOneWay'
     /** Cuts the network from the agent to the entry only. */
     | 'cutAnswers'
+    /** Cuts the network between the entry and the next one in both directions. */
+    | 'cutEntries'
+    /** Cuts the network from the entry to the next one only. */
+    | 'cutToEntry'
+    /** Cuts the network from the next entry to the entry only. */
+    | 'cutFromEntry'
     /** The worker neither executes nor answers commands. */
     | 'silent'
     /** The worker executes commands, but its answers are lost. */
@@ -108,6 +114,8 @@
   hasSocketBuffers?: boolean;
   /** True when the leases of late commands count from their arrival. */
   countsLateLeasesFromArrival?: boolean;
+  /** Utilization of each entry, which forward jobs then; they do not if absent. */
+  utilizations?: readonly number[];
 };
 
 const ENTRIES = 2;
@@ -170,6 +178,43 @@
   jobs: fc.array(plannedJob, { minLength: 3, maxLength: 40 }),
 });
 
+const faultBesideForwarding: fc.Arbitrary<PlannedDispatchFault> = fc.record({
+  type: fc.constantFrom(
+    'killEntry',
+    'killAgent',
+    'freezeEntry',
+    'freezeAgent',
+    'cut',
+    'cutOneWay',
+    'cutEntries',
+    'cutToEntry',
+    'cutFromEntry',
+    'silent',
+    'answerLost',
+    'reborn',
+    'leaves',
+    'takeOut',
+  ),
+  atMs: fc.integer({ min: 0, max: SCHEDULE_MS }),
+  forMs: fc.integer({ min: 30, max: 4_000 }),
+  node: fc.nat({ max: AGENTS - 1 }),
+  other: fc.nat({ max: 2 }),
+});
+
+/** Generates schedules in which one or two of three entries forward most of their jobs. */
+export const forwardingScheduleArbitrary: fc.Arbitrary<DispatchSchedule> = fc.record({
+  seed: fc.integer({ min: 1, max: 1_000_000 }),
+  utilizations: fc.constantFrom([1, 0.1, 0.1], [1, 0.1, 0.3], [1, 1, 0.1], [0.1, 1, 0.1]),
+  hasSocketBuffers: fc.boolean(),
+  faults: fc.array(faultBesideForwarding, { maxLength: 6 }),
+  jobs: fc.array(
+    fc
+      .tuple(plannedJob, fc.nat({ max: 2 }))
+      .map(([job, entry]): PlannedDispatchJob => ({ ...job, entry })),
+    { minLength: 3, maxLength: 40 },
+  ),
+});
+
 /** Number of agents of the schedules with crashing tasks. */
 export const CRASH_SCHEDULE_AGENTS = 8;
 
@@ -285,6 +330,7 @@
   isOn: boolean,
 ): void => {
   const entry = `entry-${other}`;
+  const nextEntry = `entry-${(other + 1) % simulation.entries.length}`;
   const agent = `agent-${node}`;
   const worker = simulation.workers[node];
   const leave = (isAnswerLost: boolean): void => {
@@ -303,6 +349,12 @@
     },
     cutOneWay: () => simulation.network.cut(entry, agent, isOn),
     cutAnswers: () => simulation.network.cut(agent, entry, isOn),
+    cutEntries: () => {
+      simulation.network.cut(entry, nextEntry, isOn);
+      simulation.network.cut(nextEntry, entry, isOn);
+    },
+    cutToEntry: () => simulation.network.cut(entry, nextEntry, isOn),
+    cutFromEntry: () => simulation.network.cut(nextEntry, entry, isOn),
     silent: () => {
       if (worker) worker.commandFault = isOn ? 'silent' : 'none';
     },
@@ -370,7 +422,15 @@
   schedule: DispatchSchedule,
   agentCount = AGENTS,
 ): Promise<DispatchSimulation> => {
-  const simulation = DispatchSimulation.create(schedule.seed, ENTRIES, agentCount);
+  const { utilizations } = schedule;
+  const entryCount = utilizations?.length ?? ENTRIES;
+  const simulation = DispatchSimulation.create(
+    schedule.seed,
+    entryCount,
+    agentCount,
+    undefined,
+    utilizations,
+  );
   const { hasSocketBuffers = false, countsLateLeasesFromArrival = false } = schedule;
   simulation.network.hasSocketBuffers = hasSocketBuffers;
   simulation.workers.forEach((worker) => Object.assign(worker, { countsLateLeasesFromArrival }));
