--- a/packages/proofs/tests/forwarding.test.ts
+++ b/packages/proofs/tests/forwarding.test.ts
@@ -82,6 +82,20 @@
     expect(countForwarded(simulation)).toBeGreaterThan(5);
   });
 
+  // Guards against runs that go on for a sender that is lost, until after the client has sent the job again.
+  it.each([
+    ['killEntry', 800],
+    ['freezeEntry', 3_000],
+  ] as const)('stops long runs in time under the fault %s of the sender', async (type, forMs) => {
+    const jobs = createJobs(20, { atMs: 400, runMs: 2_900, cpu: 100, sendsAgain: true });
+    const simulation = await runDispatchSchedule({
+      ...{ seed: 5, utilizations: UTILIZATIONS, faults: [createFault(type, 0, forMs)], jobs },
+      hasSocketBuffers: true,
+    });
+    expect(checkDispatchGuarantees(simulation)).toEqual([]);
+    expect(countForwarded(simulation)).toBeGreaterThan(5);
+  });
+
   // Guards against a second copy that runs beside the first, at the sender, the receivers and a third entry.
   it.each([0, 1, 2])(
     'runs no task twice when clients give up and send again, seed %d',
