--- a/marjorammast-app/src/local/DispatchDeployment.ts
+++ b/marjorammast-app/src/local/DispatchDeployment.ts
@@ -85,6 +85,16 @@
 /** Options of `node` for each program, such as `--max-old-space-size=160`. */
 export type NodeOptions = Partial<Record<'dispatchEntry' | 'gateAgent', readonly string[]>>;
 
+/** In what a deployment differs from the usual one. */
+export type DeploymentOptions = {
+  /** Returns the addresses at which the processes reach each other. */
+  resolveAddress?: AddressResolver;
+  /** Options of `node` for the daemons. */
+  nodeOptions?: NodeOptions;
+  /** Settings of an entry, beside those that all entries have. */
+  entryFields?: (index: number) => object;
+};
+
 const resolveDirectly: AddressResolver = (_from, _endpoint, address) => Promise.resolve(address);
 
 /**
@@ -114,8 +124,7 @@
   private constructor(
     private readonly entryCount: number,
     private readonly workerCount: number,
-    private readonly resolveAddress: AddressResolver,
-    private readonly nodeOptions: NodeOptions,
+    private readonly options: Required<DeploymentOptions>,
   ) {}
 
   /**
@@ -123,18 +132,21 @@
    *
    * @param entryCount - number of entries
    * @param workerCount - number of workers, each with an agent
-   * @param resolveAddress - returns the addresses at which the processes reach each other
-   * @param nodeOptions - options of `node` for the daemons
+   * @param options - in what the deployment differs from the usual one
    * @returns the running deployment
    * @throws Error when the deployment is not ready in time
    */
   static async create(
     entryCount: number,
     workerCount: number,
-    resolveAddress: AddressResolver = resolveDirectly,
-    nodeOptions: NodeOptions = {},
+    {
+      resolveAddress = resolveDirectly,
+      nodeOptions = {},
+      entryFields = () => ({}),
+    }: DeploymentOptions = {},
   ): Promise<DispatchDeployment> {
-    const deployment = new DispatchDeployment(entryCount, workerCount, resolveAddress, nodeOptions);
+    const options = { resolveAddress, nodeOptions, entryFields };
+    const deployment = new DispatchDeployment(entryCount, workerCount, options);
     try {
       await deployment.start();
       return deployment;
@@ -172,6 +184,7 @@
       metrics: await this.addressOf(`${name}-metrics`),
       store: await this.resolvedAddressOf(name, 'store'),
       stopTimeoutMs: 5_000,
+      ...this.options.entryFields(index),
     });
   }
 
@@ -393,14 +406,14 @@
   }
 
   private async resolvedAddressOf(from: string, endpoint: string): Promise<string> {
-    return this.resolveAddress(from, endpoint, await this.addressOf(endpoint));
+    return this.options.resolveAddress(from, endpoint, await this.addressOf(endpoint));
   }
 
   private launch(program: keyof NodeOptions, name: string, settings: object): Daemon {
     const file = join(this.folder, `${name}.jsonc`);
     writeFileSync(file, JSON.stringify(settings, undefined, 2));
     const log = openSync(join(this.folder, `${name}.log`), 'a');
-    const options = this.nodeOptions[program] ?? [];
+    const options = this.options.nodeOptions[program] ?? [];
     const bundle = join(BUNDLE_FOLDER, `${program}.js`);
     const child = spawn(process.execPath, [...options, bundle, file], {
       stdio: ['ignore', log, log],
--- a/marjorammast-app/src/soak/Soak.ts
+++ b/marjorammast-app/src/soak/Soak.ts
@@ -121,9 +121,9 @@
    */
   async run(): Promise<SoakReport> {
     const { entries, workers } = this.plan;
-    const deployment = await DispatchDeployment.create(entries, workers, (...path) =>
-      this.links.addProxy(...path),
-    );
+    const deployment = await DispatchDeployment.create(entries, workers, {
+      resolveAddress: (...path) => this.links.addProxy(...path),
+    });
     const injector = FaultInjector.create({
       deployment,
       links: this.links,
--- a/marjorammast-app/tests/untrustedClients.test.ts
+++ b/marjorammast-app/tests/untrustedClients.test.ts
@@ -114,7 +114,7 @@
   beforeEach(async () => {
     crowds = [];
     nextJob = 1;
-    deployment = await DispatchDeployment.create(1, 1, undefined, NODE_OPTIONS);
+    deployment = await DispatchDeployment.create(1, 1, { nodeOptions: NODE_OPTIONS });
   });
 
   afterEach(async () => {
