Entry: fast workers are spared while their free capacity is scarce

Cause: tasks are placed on fast workers first, and on slower ones only when no fast one has room. At 80 % of the capacity and more, with the long kind at 2.2 times its rate, tasks of all kinds compete for the fast workers while some of them would meet their objective elsewhere.

Change: ScarceRoom tells from the free fast capacity and from waiting jobs when it is scarce. Meanwhile tasks that meet their objective on a slower worker with a margin go there first. The margin starts from the longer of the client's estimate and the learned run time of the route (RouteRunTimes): the estimate alone selects the tasks whose estimate is too small. The key placement.robustSlowness of the agent has no effect yet.

--- a/marjorammast-app/src/dispatchEntry.ts
+++ b/marjorammast-app/src/dispatchEntry.ts
@@ -37,12 +37,18 @@
     random: Math.random,
     log,
     meter: { answered: (route, outcome, ms) => answerTimes.observe({ route, outcome }, ms) },
+    placement: settings.placement,
   });
   metrics.gauge('marjorammast_open_jobs', 'Jobs without an answer', () => entry.openJobs);
   metrics.gauge('marjorammast_queued_jobs', 'Jobs that wait', () => entry.dispatcher.queuedJobs);
   metrics.gauge('marjorammast_runs', 'Runs not ended', () => entry.dispatcher.outstandingRuns);
   metrics.gauge('marjorammast_agents', 'Agents attached', () => entry.attachedAgents);
   metrics.gauge('marjorammast_open_workers', 'Workers that take work', () => entry.openWorkers);
+  metrics.gauge(
+    'marjorammast_scarce_services',
+    'Services whose free capacity on fast workers is scarce',
+    () => entry.dispatcher.scarceServices,
+  );
   const platformStore = createPlatformStore(store, log);
   const decodeOperatorState = createOperatorStateDecoder(log);
   const decodeRegistrations = createRegistrationDecoder((key) =>
--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -27,6 +27,7 @@
 import { unsupportedFeature } from './job';
 import type { JobOutcome, JobRequest } from './job';
 import { PeerClient } from './PeerClient';
+import type { PlacementOptions } from './ScarcePlacement';
 
 /** Receives the measurements of an entry. `ms` is the time to answer a job, in milliseconds. */
 export type EntryMeter = { answered: (route: string, outcome: string, ms: number) => void };
@@ -40,6 +41,8 @@
   random: () => number;
   log: Log;
   meter: EntryMeter;
+  /** How tasks are placed on workers of different speed; fast workers come first if absent. */
+  placement?: PlacementOptions;
 };
 
 /** A job that a client submits to a route. */
@@ -122,6 +125,7 @@
       confinement: this.crashes.confinement,
       random: options.random,
       log: options.log,
+      placement: options.placement,
     });
     this.peerClient = PeerClient.create({
       entry: options.name,
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -26,6 +26,8 @@
 import type { Placement } from './placeTasks';
 import { QueueEstimate, workOf } from './QueueEstimate';
 import type { RouteConfinement } from './RouteConfinement';
+import { ScarcePlacement } from './ScarcePlacement';
+import type { PlacementOptions } from './ScarcePlacement';
 import { sortWaitingJobs } from './sortWaitingJobs';
 import { workerIdOf } from './workerIdOf';
 import { WorkerRooms } from './WorkerRooms';
@@ -44,6 +46,8 @@
   /** Uniform random numbers in [0, 1). */
   random: () => number;
   log: Log;
+  /** How tasks are placed on workers of different speed; fast workers come first if absent. */
+  placement?: PlacementOptions;
 };
 
 /** Work of one queue in a pass, in thousandths of a core times milliseconds. */
@@ -72,11 +76,15 @@
   /** How long queued work waits, by service and lateness. */
   private readonly estimates = new Map<string, QueueEstimate>();
 
+  private readonly scarcePlacement: ScarcePlacement;
+
   private isPassScheduled = false;
 
   private passTimer: NodeJS.Timeout | undefined;
 
-  private constructor(private readonly host: DispatcherHost) {}
+  private constructor(private readonly host: DispatcherHost) {
+    this.scarcePlacement = ScarcePlacement.create(host.placement ?? {}, host.log);
+  }
 
   /**
    * @param host - what the dispatcher needs from its entry
@@ -96,6 +104,11 @@
     return this.runs.count;
   }
 
+  /** Number of services whose free capacity on fast workers is scarce. */
+  get scarceServices(): number {
+    return this.scarcePlacement.countScarce(performance.now());
+  }
+
   /**
    * @param agent - name of an agent
    * @returns true while runs that were assigned to the agent have not ended
@@ -155,9 +168,10 @@
    * @param ends - rows of job, task index, run number, end and time since admission in milliseconds
    */
   handleRunEnds(agent: string, ends: Params<'ended'>['runs']): void {
-    ends.forEach(([jobId, taskIndex, run, end]) => {
+    ends.forEach(([jobId, taskIndex, run, end, ms]) => {
       const outstanding = this.runs.find(agent, jobId, taskIndex);
       if (outstanding?.run !== run) return;
+      if (end === 'done') this.recordRunTime(outstanding.job.route, agent, ms);
       this.runs.remove(agent, jobId, taskIndex);
       if (outstanding.job.isOpen && outstanding.job.isAssigned(taskIndex, agent, run)) {
         this.applyEnd(outstanding.job, taskIndex, agent, end);
@@ -321,6 +335,9 @@
       const estimatedWaitMs = estimate.waitMsFor(load.waitingWork, waitingWork);
       this.refuseIfHopeless(job, rooms, estimatedWaitMs);
       if (job.isOpen) load.waitingWork += waitingWork;
+      if (job.isOpen && waitingWork > 0) {
+        this.scarcePlacement.recordWaiting(job.route.service, now);
+      }
     });
     this.recordLoads(loads, now);
     if (isInterrupted) this.schedulePass();
@@ -344,7 +361,16 @@
     const evacuatedDataCenters = this.host.evacuatedDataCenters();
     const { dataCenter } = this.host;
     const filter = { dataCenter, evacuatedDataCenters, now };
-    return WorkerRooms.create(this.host.connections(), service, filter);
+    const rooms = WorkerRooms.create(this.host.connections(), service, filter);
+    if (this.scarcePlacement.isOn) {
+      this.scarcePlacement.recordFreeShare(service, rooms.freeFastShare, now);
+    }
+    return rooms;
+  }
+
+  private recordRunTime({ name }: Route, agent: string, ms: number): void {
+    const view = this.host.findConnection(agent)?.view;
+    if (view) this.scarcePlacement.recordRun(name, ms, view.slowness);
   }
 
   /**
@@ -366,8 +392,14 @@
     const { crashRecords } = this.host;
     const waitingBefore = job.waitingTasks.length;
     const { bestSlowness } = rooms;
-    const slackMs = objectiveAt - performance.now();
-    const goal = { estimateMs: step.estimateMs, slackMs, bestSlowness };
+    const { name, service } = job.route;
+    const now = performance.now();
+    const slackMs = objectiveAt - now;
+    const { estimateMs } = step;
+    const expectedMs = this.scarcePlacement.expectedMs(name, estimateMs);
+    const goal = { estimateMs, expectedMs, slackMs, bestSlowness };
+    const hasFastWorkers = () => rooms.hasFastWorkersFor(step);
+    const rule = this.scarcePlacement.ruleFor(service, hasFastWorkers, now);
     [RESERVED_TASKS, 0].forEach((reservedTasks) => {
       const groups = groupWaitingTasks(job, {
         isSuspect: (index) => crashRecords.isSuspect(job.id, index),
@@ -383,6 +415,7 @@
                 rooms.findCandidates(step, group.avoidedAgents, reservedTasks),
                 { ...goal, count },
                 this.host.random,
+                rule,
               )
             : rooms.placeAt(group.boundTo, step, count);
         this.assignGroup(job, group, placements, rooms);
--- a/packages/dispatch/src/WorkerRooms.ts
+++ b/packages/dispatch/src/WorkerRooms.ts
@@ -1,6 +1,7 @@
 import { countFitting, fits } from '@marjorammast/protocol';
 import type { Resources, WorkerView } from '@marjorammast/protocol';
 import type { AgentConnection } from './AgentConnection';
+import { EQUAL_SLOWNESS_FACTOR } from './constants';
 import type { Step } from './job';
 import type { Candidate, Placement } from './placeTasks';
 
@@ -100,6 +101,33 @@
     );
   }
 
+  /**
+   * @param step - a step
+   * @returns true when one of the fast workers that can run its tasks is open
+   */
+  hasFastWorkersFor(step: Step): boolean {
+    const isChosen = this.choiceFor(step);
+    return this.workers.some(
+      ({ agent, view }) =>
+        isChosen(agent) && view.state === 'open' && this.isFast(view) && canRun(step, view),
+    );
+  }
+
+  /**
+   * Free part of the processor capacity of the open fast workers, from 0 to 1. It is 1 when no open worker is slower:
+   * then there is none that could spare the fast ones.
+   */
+  get freeFastShare(): number {
+    const open = this.workers.filter(({ view }) => view.state === 'open');
+    const fast = open.filter(({ view }) => this.isFast(view));
+    if (fast.length === open.length) return 1;
+    const capacity = fast.reduce((sum, { view }) => sum + view.capacity.cpu, 0);
+    const free = this.rooms
+      .filter(({ view }) => view.state === 'open' && this.isFast(view))
+      .reduce((sum, room) => sum + room.free.cpu, 0);
+    return capacity > 0 ? free / capacity : 1;
+  }
+
   /**
    * @param choose - chooses agents from those whose workers can run a step
    * @returns the rooms of the chosen agents alone
@@ -169,6 +197,10 @@
     if (room) room.free = room.connection.free;
   }
 
+  private isFast({ slowness }: WorkerView): boolean {
+    return slowness <= this.bestSlowness * EQUAL_SLOWNESS_FACTOR;
+  }
+
   /** Returns whether an agent is among those chosen for a step. */
   private choiceFor(step: Step): (agent: string) => boolean {
     if (!this.choose) return () => true;
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -68,6 +68,15 @@
  */
 export const MAX_SLOWNESS_FACTOR = 3;
 
+/**
+ * Ratio of actual to expected run time with which a task has to meet its objective on a slower worker to count as
+ * certain to meet it. The tasks of a job differ by up to 15 %; with 1.2 hardly any task of the replayed load passes.
+ */
+export const SLOW_RUN_MARGIN = 1.1;
+
+/** Time that such a task is allowed for its assignment, its start and the report of its end, in milliseconds. */
+export const START_MARGIN_MS = 15;
+
 /**
  * Pause before an agent that declined an assignment gets the next one, in milliseconds. A report of
  * its free resources ends the pause early.
--- a/packages/dispatch/src/placeTasks.ts
+++ b/packages/dispatch/src/placeTasks.ts
@@ -1,4 +1,6 @@
-import { EQUAL_SLOWNESS_FACTOR, MAX_SLOWNESS_FACTOR, MIN_ROOM_WEIGHT } from './constants';
+import { MIN_ROOM_WEIGHT } from './constants';
+import { fastFirst } from './placementRule';
+import type { PlacementRule } from './placementRule';
 
 /** An agent whose worker could run tasks of a step. */
 export type Candidate = {
@@ -20,6 +22,8 @@
   count: number;
   /** The client's estimate of a task's run time, in milliseconds. */
   estimateMs: number;
+  /** Run time to reckon with on a worker of slowness 1, in milliseconds; the estimate if absent. */
+  expectedMs?: number;
   /** Time until the latency objective, in milliseconds; negative once it has passed. */
   slackMs: number;
   /** Slowness of the service's fast workers, whether or not they have free resources. */
@@ -30,22 +34,8 @@
 export type Placement = { agent: string; count: number };
 
 /**
- * Accepts a worker slower than the fast ones if a task meets the latency objective on it. If the task
- * cannot meet the objective even on a fast worker, a slower worker is accepted too, unless its slowness
- * is {@link MAX_SLOWNESS_FACTOR} times that of the fast ones, or more.
- */
-const isAcceptable = ({ slowness }: Candidate, goal: PlacementGoal): boolean => {
-  if (slowness <= goal.bestSlowness * EQUAL_SLOWNESS_FACTOR) return true;
-  const isObjectiveMet = goal.estimateMs * slowness <= goal.slackMs;
-  const isObjectiveOutOfReach = goal.estimateMs * goal.bestSlowness > goal.slackMs;
-  return (
-    isObjectiveMet || (isObjectiveOutOfReach && slowness < goal.bestSlowness * MAX_SLOWNESS_FACTOR)
-  );
-};
-
-/**
- * Distributes tasks over agents. Agents are ranked by the speed of their workers, where all workers
- * about as fast as the fast ones count as equal. Among equals, workers near the data come first, then
+ * Distributes tasks over agents. Agents are ranked by the speed of their workers, as the rule says;
+ * usually all workers about as fast as the fast ones come first and count as equal. Among equals, workers near the data come first, then
  * agents in the entry's data centre, then those on whose workers the most tasks fit, so that a job
  * needs few messages.
  *
@@ -55,6 +45,7 @@
  * @param candidates - agents that could run the tasks
  * @param goal - number of tasks to place, and the time that they have
  * @param random - uniform random numbers in [0, 1)
+ * @param rule - accepts the workers and ranks them by speed
  * @returns number of tasks for each chosen agent; in total fewer than `goal.count` if not all
  * tasks fit on acceptable workers
  */
@@ -62,18 +53,18 @@
   candidates: readonly Candidate[],
   goal: PlacementGoal,
   random: () => number,
+  rule: PlacementRule = fastFirst,
 ): Placement[] => {
-  const speedTier = ({ slowness }: Candidate) =>
-    slowness <= goal.bestSlowness * EQUAL_SLOWNESS_FACTOR ? 0 : slowness;
   const ranked = candidates
-    .filter((candidate) => candidate.fittingTasks > 0 && isAcceptable(candidate, goal))
+    .filter((candidate) => candidate.fittingTasks > 0 && rule.isAcceptable(candidate, goal))
     .map((candidate) => ({
       ...candidate,
+      tier: rule.speedTier(candidate, goal),
       weight: candidate.fittingTasks * (MIN_ROOM_WEIGHT + random()),
     }))
     .sort(
       (a, b) =>
-        speedTier(a) - speedTier(b) ||
+        a.tier - b.tier ||
         Number(b.isNearData) - Number(a.isNearData) ||
         Number(b.isLocal) - Number(a.isLocal) ||
         b.weight - a.weight,
--- a/packages/settings/src/daemonSettings.ts
+++ b/packages/settings/src/daemonSettings.ts
@@ -63,6 +63,19 @@
   ...dispatchDaemonSettings,
   clients: address.describe('HTTP address for clients.'),
   readiness: address.describe('Address of the readiness endpoint for the load balancer.'),
+  placement: z
+    .strictObject({
+      scarceRoom: z
+        .boolean()
+        .default(false)
+        .describe('While fast workers are nearly full, tasks that can go to slower ones do so.'),
+      waitForFast: z
+        .boolean()
+        .default(false)
+        .describe('Meanwhile, tasks that may be late on slower workers wait for fast ones.'),
+    })
+    .optional()
+    .describe('Placement of tasks on workers of different speed; without it fast ones come first.'),
 });
 
 /** Settings of the agent of the dispatch design, which controls admission to one worker. */
@@ -70,6 +83,15 @@
   ...dispatchDaemonSettings,
   workerReports: address.describe('Address at which the agent receives the reports of the worker.'),
   worker: address.describe('Address of the interface through which the worker is controlled.'),
+  placement: z
+    .strictObject({
+      robustSlowness: z
+        .boolean()
+        .default(false)
+        .describe('Learns the slowness of the worker without the influence of single long runs.'),
+    })
+    .optional()
+    .describe('How the worker appears to placement.'),
 });
 
 /** Inferred from {@link dispatchSettingsSchema}. */
