Agent: single long runs do not make a worker look slow

Cause: the slowness is a moving average of all runs. 3 of 100 runs that take 7 times their estimate raise it by a quarter and more at times. Such runs also stay on their worker for long: the time and progress of all present runs together then look like a slowdown of a healthy worker.

Change: robustSlowness learns from the middle half of the last 32 runs, and judges present runs by their median. Two assumed runs of slowness 1 keep a worker in use whose first run is long. SlownessEstimate takes the measure as an argument; the moving average stays the default.

--- a/marjorammast-app/src/gateAgent.ts
+++ b/marjorammast-app/src/gateAgent.ts
@@ -1,4 +1,4 @@
-import { GateAgent, createSuspendAwareClock } from '@marjorammast/gate';
+import { GateAgent, createSuspendAwareClock, robustSlowness } from '@marjorammast/gate';
 import { createPlatformStore, createWorkerClient, serveWorkerApi } from '@marjorammast/platform';
 import { listen } from '@marjorammast/protocol';
 import { gateSettingsSchema } from '@marjorammast/settings';
@@ -13,6 +13,7 @@
 const run = async (): Promise<void> => {
   const settings = loadSettings('gateAgent', gateSettingsSchema);
   const { name, dataCenter, rpc, worker, workerReports, logLevel, stopTimeoutMs } = settings;
+  const { placement } = settings;
   const log = createDaemonLog(name, logLevel);
   guardProcess(log, process);
   const metrics = createPrometheusMetrics();
@@ -37,6 +38,7 @@
     worker: createWorkerClient(worker, log),
     clock: createSuspendAwareClock(),
     log,
+    slownessMeasure: placement?.robustSlowness ? robustSlowness : undefined,
     meter: {
       assigned: (admitted, declined, reason) => {
         assignments.inc({ answer: 'taken' }, admitted);
@@ -54,6 +56,11 @@
       },
     },
   });
+  metrics.gauge(
+    'marjorammast_worker_slowness',
+    'Run time over estimated run time of the worker, as entries are told',
+    () => agent.workerSlowness,
+  );
   const traffic = { sentBytes: 0, receivedBytes: 0, messages: 0 };
   const rpcServer = await listen(rpc, agent.server, traffic);
   const { host, port } = parseAddress(workerReports);
--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -21,6 +21,7 @@
 import { isSameIncarnation } from './isSameIncarnation';
 import { probationDelay, probationRemainingMs } from './probation';
 import { SlownessEstimate, findSlowRuns } from './SlownessEstimate';
+import type { SlownessMeasure } from './slownessMeasure';
 import { UnsettledStarts } from './UnsettledStarts';
 import type { UnsettledStart } from './UnsettledStarts';
 import { WorkerHealth } from './WorkerHealth';
@@ -49,6 +50,8 @@
   clock: () => number;
   log: Log;
   meter: GateMeter;
+  /** How the slowness of the worker is measured; a moving average if absent. */
+  slownessMeasure?: SlownessMeasure;
 };
 
 type Assignment = Params<'assign'>;
@@ -80,7 +83,7 @@
 
   private readonly crashReports: CrashReports;
 
-  private slowness = SlownessEstimate.create();
+  private slowness: SlownessEstimate;
 
   /** Identifier of the worker of the latest session. */
   private lastWorkerId = '';
@@ -96,6 +99,7 @@
 
   private constructor(private readonly options: GateAgentOptions) {
     this.server = this.createServer();
+    this.slowness = SlownessEstimate.create(options.slownessMeasure);
     this.connections = EntryConnections.create({
       view: () => this.view,
       ownersOfRuns: () => new Set(this.runs.map((run) => run.ownerId)),
@@ -193,6 +197,11 @@
     };
   }
 
+  /** Ratio of actual to estimated run time of the worker. */
+  get workerSlowness(): number {
+    return this.slowness.value;
+  }
+
   private get unavailableReason(): string {
     if (this.isStopping) return 'agent stopping';
     if (!this.session) return 'no worker';
@@ -206,7 +215,7 @@
 
   private beginSession(firstReport: WorkerReport): void {
     this.health = this.createHealth();
-    this.slowness = SlownessEstimate.create();
+    this.slowness = SlownessEstimate.create(this.options.slownessMeasure);
     const { id, born, service, capacity } = firstReport;
     this.options.log.info({ worker: id, born, service, cpu: capacity.cpu }, 'worker_found');
     const host = {
--- a/packages/gate/src/SlownessEstimate.ts
+++ b/packages/gate/src/SlownessEstimate.ts
@@ -1,5 +1,6 @@
-import { SLOWNESS_WEIGHT } from './constants';
 import type { Run } from './run';
+import { averageSlowness } from './slownessMeasure';
+import type { SlownessLearner, SlownessMeasure } from './slownessMeasure';
 
 /** Age from which the progress of a run is taken into account, in milliseconds. */
 const MIN_RUN_AGE_MS = 100;
@@ -50,11 +51,18 @@
 
   private slowdownCheckedAt = 0;
 
-  private constructor() {}
+  private readonly learner: SlownessLearner;
 
-  /** @returns the estimate for a worker without finished runs */
-  static create(): SlownessEstimate {
-    return new SlownessEstimate();
+  private constructor(private readonly measure: SlownessMeasure) {
+    this.learner = measure.createLearner();
+  }
+
+  /**
+   * @param measure - how the slowness is measured
+   * @returns the estimate for a worker without finished runs
+   */
+  static create(measure: SlownessMeasure = averageSlowness): SlownessEstimate {
+    return new SlownessEstimate(measure);
   }
 
   /** Ratio of actual to estimated run time, to two significant digits. */
@@ -70,8 +78,7 @@
    */
   learnFromRun(ms: number, estimateMs: number): void {
     if (estimateMs <= 0 || this.slowdown > 1) return;
-    const sample = Math.log(Math.max(ms, 1) / estimateMs);
-    this.logSlowness += SLOWNESS_WEIGHT * (sample - this.logSlowness);
+    this.logSlowness = this.learner.learn(Math.log(Math.max(ms, 1) / estimateMs));
   }
 
   /**
@@ -86,8 +93,7 @@
     if (new Set(observed.map(({ task }) => task.job)).size < MIN_OBSERVED_JOBS) return false;
     const observedMs = observed.reduce((sum, { startsAt }) => sum + now - startsAt, 0);
     if (observedMs < MIN_OBSERVED_MS) return false;
-    const doneMs = observed.reduce((sum, run) => sum + (run.percent / 100) * run.estimateMs, 0);
-    const currentSlowness = observedMs / Math.max(1, doneMs);
+    const currentSlowness = this.measure.slownessOfRunning(observed, now);
     const ratio = currentSlowness / Math.exp(this.logSlowness);
     const previous = this.slowdown;
     this.slowdownCheckedAt = now;
