--- a/packages/dispatch/tests/Dispatcher.test.ts
+++ b/packages/dispatch/tests/Dispatcher.test.ts
@@ -6,6 +6,7 @@
 import { RouteConfinement } from '../src/RouteConfinement';
 import { MAX_DISPATCH_PASS_INTERVAL_MS, MAX_POLL_AGE_MS } from '../src/constants';
 import { Dispatcher } from '../src/Dispatcher';
+import type { PlacementOptions } from '../src/ScarcePlacement';
 import { createTestJob } from './support';
 
 const resourcesFor = (tasks: number) => ({ cpu: tasks * 1_000, memoryMb: 10_000, accelerators: 0 });
@@ -42,6 +43,7 @@
 const createDispatcher = (
   agents: readonly AgentConnection[],
   crashRecords = CrashRecords.create(),
+  placement: PlacementOptions = {},
 ): Dispatcher =>
   Dispatcher.create({
     dataCenter: 'one',
@@ -52,6 +54,7 @@
     confinement: RouteConfinement.create(),
     random: () => 0,
     log: createLog('dispatcher', 'silent'),
+    placement,
   });
 
 describe('Dispatcher', () => {
@@ -75,6 +78,28 @@
     expect(slow.assigned).toHaveLength(1);
   });
 
+  // The load: little is free on the fast workers, and short tasks that would be in time on slower ones take it.
+  it.each([
+    [{}, 'fast'],
+    [{ scarceRoom: true }, 'slow'],
+  ])('assigns a short task with the placement %j to the %s worker', async (placement, expected) => {
+    const agents = [createFakeAgent('fast', 1, 2), createFakeAgent('slow', 1.5, 8)];
+    const connections = agents.map(({ connection }) => connection);
+    Object.assign(connections[0]?.view ?? {}, { capacity: resourcesFor(20) });
+    const dispatcher = createDispatcher(connections, CrashRecords.create(), placement);
+    const runJob = async (): Promise<string> => {
+      dispatcher.add(createTestJob(1, 50));
+      await jest.advanceTimersByTimeAsync(5);
+      const name = agents.find(({ assigned }) => assigned.splice(0).length > 0)?.connection.name;
+      dispatcher.handleRunEnds(name ?? '', [['a', 0, 1, 'done', 50]]);
+      return name ?? '';
+    };
+    // The first runs show the run time of the route.
+    for (let job = 0; job < 30; job += 1) await runJob();
+    expect(await runJob()).toBe(expected);
+    dispatcher.halt();
+  });
+
   // Guards against healthy workers that are ejected for tasks that fail wherever they run.
   it('says of a task that it has failed on another worker', async () => {
     const agents = [createFakeAgent('first', 1, 5), createFakeAgent('second', 1, 5)];
--- a/packages/dispatch/tests/WorkerRooms.test.ts
+++ b/packages/dispatch/tests/WorkerRooms.test.ts
@@ -82,6 +82,26 @@
     expect(others.hasWorkersFor(step(1))).toBe(false);
   });
 
+  it('tells the free part of the open fast workers, if there are slower ones', () => {
+    const fast = [createConnection('half', 4), createConnection('full', 0)];
+    const closed = createConnection('closed', 8, { state: 'closed' });
+    const slow = createConnection('slow', 8, { slowness: 2, labels: ['gpu'] });
+    expect(roomsOf([...fast, closed, slow]).freeFastShare).toBe(0.25);
+    expect(roomsOf([...fast, closed]).freeFastShare).toBe(1);
+    expect(roomsOf([]).freeFastShare).toBe(1);
+  });
+
+  it('has fast workers for a step while one that can run its tasks is open', () => {
+    const rooms = roomsOf([
+      createConnection('full', 0),
+      createConnection('closed', 8, { state: 'closed', labels: ['arm'] }),
+      createConnection('slow', 8, { slowness: 2, labels: ['gpu'] }),
+    ]);
+    const labels = [undefined, 'gpu', 'arm'];
+    const answers = labels.map((label) => rooms.hasFastWorkersFor({ ...step(1), label }));
+    expect(answers).toEqual([true, false, false]);
+  });
+
   it('offers a worker on trial one task, whatever is reserved', () => {
     const rooms = roomsOf([createConnection('trial', 6, { state: 'trial' })]);
     expect(rooms.findCandidates(step(4), new Set(), RESERVED_TASKS)).toMatchObject([
