--- a/marjorammast-app/src/dispatchEntry.ts
+++ b/marjorammast-app/src/dispatchEntry.ts
@@ -45,6 +45,7 @@
       readUsage: readProcessUsage,
       meter: (answer) => forwarded.inc({ answer }),
     },
+    placement: settings.placement,
   });
   metrics.gauge('marjorammast_open_jobs', 'Jobs without an answer', () => entry.openJobs);
   metrics.gauge('marjorammast_queued_jobs', 'Jobs that wait', () => entry.dispatcher.queuedJobs);
@@ -54,6 +55,11 @@
   metrics.gauge('marjorammast_utilization', 'Processor time in use, 0 to 1', () =>
     entry.utilization === undefined ? NaN : entry.utilization,
   );
+  metrics.gauge(
+    'marjorammast_scarce_services',
+    'Services whose free capacity on fast workers is scarce',
+    () => entry.dispatcher.scarceServices,
+  );
   const platformStore = createPlatformStore(store, log);
   const decodeOperatorState = createOperatorStateDecoder(log);
   const decodeRegistrations = createRegistrationDecoder((key) =>
--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -29,6 +29,7 @@
 import { unsupportedFeature } from './job';
 import type { JobOutcome, JobRequest } from './job';
 import { PeerClient } from './PeerClient';
+import type { PlacementOptions } from './ScarcePlacement';
 
 /** Receives the measurements of an entry. `ms` is the time to answer a job, in milliseconds. */
 export type EntryMeter = { answered: (route: string, outcome: string, ms: number) => void };
@@ -44,6 +45,8 @@
   meter: EntryMeter;
   /** How jobs are forwarded between entries; absent when they are not. */
   forwarding?: ForwardingOptions;
+  /** How tasks are placed on workers of different speed; fast workers come first if absent. */
+  placement?: PlacementOptions;
 };
 
 /** A job that a client submits to a route. */
@@ -139,6 +142,7 @@
       confinement: this.crashes.confinement,
       random: options.random,
       log: options.log,
+      placement: options.placement,
     });
     this.peerClient = PeerClient.create({
       entry: options.name,
