Agent: a controller for tasks that wait for room

Cause: tasks for which a worker had no room were declined and came again after 50 ms, so that whoever asked at the right moment got the room.

--- a/packages/gate/src/constants.ts
+++ b/packages/gate/src/constants.ts
@@ -99,3 +99,12 @@
  * seconds later, if at all.
  */
 export const UNSETTLED_START_RETENTION_MS = 60_000;
+
+/**
+ * Longest time for which a task waits at the agent, in milliseconds. It leaves time for the way of the
+ * assignment within {@link MAX_ASSIGNMENT_AGE_MS}.
+ */
+export const MAX_QUEUE_MS = 200;
+
+/** Part of the worker's capacity that the waiting tasks may need together. */
+export const QUEUE_CAPACITY_SHARE = 1 / 4;
