Tasks without room wait at the agent

Cause: entries place tasks on old views of the free resources; what did not fit was declined, and room was idle until someone asked again. Change: with the setting queueing, assignments ask the agent to queue what does not fit. The agent starts it once there is room, after the same checks as at admission, or reports it as unqueued. Entries queue tasks that have room nowhere at agents with short waits. A queued task counts as assigned, and any end but unqueued means that it may have run.

--- a/marjorammast-app/src/dispatchEntry.ts
+++ b/marjorammast-app/src/dispatchEntry.ts
@@ -37,6 +37,7 @@
     random: Math.random,
     log,
     meter: { answered: (route, outcome, ms) => answerTimes.observe({ route, outcome }, ms) },
+    queueing: settings.queueing,
   });
   metrics.gauge('marjorammast_open_jobs', 'Jobs without an answer', () => entry.openJobs);
   metrics.gauge('marjorammast_queued_jobs', 'Jobs that wait', () => entry.dispatcher.queuedJobs);
--- a/marjorammast-app/src/gateAgent.ts
+++ b/marjorammast-app/src/gateAgent.ts
@@ -31,6 +31,11 @@
   );
   const crashes = metrics.counter('marjorammast_worker_crashes', 'Crashes of the worker', []);
   const lostByCrash = metrics.counter('marjorammast_runs_lost', 'Runs on crashed workers', []);
+  const unqueued = metrics.counter(
+    'marjorammast_unqueued',
+    'Tasks that waited for room and were given back to their entries',
+    ['reason'],
+  );
   const agent = GateAgent.create({
     name,
     dataCenter,
@@ -52,8 +57,11 @@
         crashes.inc();
         lostByCrash.inc(lostRuns);
       },
+      queued: (tasks) => assignments.inc({ answer: 'queued' }, tasks),
+      unqueued: (reason) => unqueued.inc({ reason }),
     },
   });
+  metrics.gauge('marjorammast_queued_tasks', 'Tasks that wait for room', () => agent.queuedTasks);
   const traffic = { sentBytes: 0, receivedBytes: 0, messages: 0 };
   const rpcServer = await listen(rpc, agent.server, traffic);
   const { host, port } = parseAddress(workerReports);
--- a/marjorammast-app/src/local/DispatchDeployment.ts
+++ b/marjorammast-app/src/local/DispatchDeployment.ts
@@ -166,6 +166,7 @@
       metrics: await this.addressOf(`${name}-metrics`),
       store: await this.resolvedAddressOf(name, 'store'),
       stopTimeoutMs: 5_000,
+      queueing: { maxQueueMs: 200 },
     });
   }
 
--- a/marjorammast-app/tests/dispatchProcesses.test.ts
+++ b/marjorammast-app/tests/dispatchProcesses.test.ts
@@ -83,6 +83,11 @@
       Array(20).fill({ state: 'completed' }),
     );
     expect(performance.now() - sentAt).toBeLessThan(MAX_ANSWER_MS);
+    // Guards against a queue at the agents that the settings do not switch on.
+    const logs = [0, 1, 2].map((index) =>
+      readFileSync(join(deployment.logFolder, `agent-${index}.log`), 'utf8'),
+    );
+    expect(logs.some((text) => text.includes(' queued='))).toBe(true);
   });
 
   it('fail a job once a task has failed as often as its route allows', async () => {
--- a/packages/dispatch/src/AgentConnection.ts
+++ b/packages/dispatch/src/AgentConnection.ts
@@ -158,9 +158,10 @@
    * Updates the free resources of the agent's worker.
    *
    * @param free - free resources as the agent counts them
+   * @param queueMs - estimated wait of a task that is queued at the agent, in milliseconds
    */
-  updateFree(free: Resources): void {
-    if (this.workerView) this.workerView = { ...this.workerView, free };
+  updateFree(free: Resources, queueMs?: number): void {
+    if (this.workerView) this.workerView = { ...this.workerView, free, queueMs };
     this.pausedUntil = 0;
   }
 
@@ -186,7 +187,7 @@
       const answer = await link.call('assign', params, AGENT_CALL_TIMEOUT_MS);
       this.clockReading.update(answer.clock);
       this.startKnowledge = { unsettled: answer.unsettled, asOf };
-      this.updateFree(answer.free);
+      this.updateFree(answer.free, answer.queueMs);
       return answer;
     } catch (error) {
       // It is unknown whether these runs started. The agent stops them when the connection closes.
--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -27,6 +27,7 @@
 import { unsupportedFeature } from './job';
 import type { JobOutcome, JobRequest } from './job';
 import { PeerClient } from './PeerClient';
+import type { Queueing } from './placeWaitingTasks';
 
 /** Receives the measurements of an entry. `ms` is the time to answer a job, in milliseconds. */
 export type EntryMeter = { answered: (route: string, outcome: string, ms: number) => void };
@@ -40,6 +41,8 @@
   random: () => number;
   log: Log;
   meter: EntryMeter;
+  /** How tasks without room wait at agents; they do not if absent. */
+  queueing?: Queueing;
 };
 
 /** A job that a client submits to a route. */
@@ -120,6 +123,7 @@
       evacuatedDataCenters: () => this.rules.outDataCenters,
       crashRecords: this.crashes.records,
       confinement: this.crashes.confinement,
+      queueing: options.queueing,
       random: options.random,
       log: options.log,
     });
@@ -336,10 +340,10 @@
           findByLink(link)?.updateView(view);
           return {};
         },
-        ended: ({ runs, free }, link) => {
+        ended: ({ runs, free, queueMs }, link) => {
           const connection = findByLink(link);
           if (!connection) return {};
-          connection.updateFree(free);
+          connection.updateFree(free, queueMs);
           this.dispatcher.handleRunEnds(connection.name, runs);
           return {};
         },
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -23,7 +23,9 @@
 import { OutstandingRuns } from './OutstandingRuns';
 import type { OutstandingRun } from './OutstandingRuns';
 import { placeTasks } from './placeTasks';
-import type { Placement } from './placeTasks';
+import type { Placement, PlacementGoal } from './placeTasks';
+import { placeWaitingTasks, queueFieldsOf } from './placeWaitingTasks';
+import type { Queueing } from './placeWaitingTasks';
 import { QueueEstimate, workOf } from './QueueEstimate';
 import type { RouteConfinement } from './RouteConfinement';
 import { sortWaitingJobs } from './sortWaitingJobs';
@@ -41,6 +43,8 @@
   crashRecords: CrashRecords;
   /** Routes that are confined to a part of the workers. */
   confinement: RouteConfinement;
+  /** How tasks without room wait at agents; they do not if absent. */
+  queueing?: Queueing;
   /** Uniform random numbers in [0, 1). */
   random: () => number;
   log: Log;
@@ -50,7 +54,13 @@
 type PassLoad = { placedWork: number; waitingWork: number; hasWorkers: boolean };
 
 /** What an agent is told of all tasks of an assignment. */
-type AssignmentTraits = Pick<Assignment, 'bestSlowness' | 'isSuspect' | 'hasFailedElsewhere'>;
+type AssignmentTraits = Pick<
+  Assignment,
+  'bestSlowness' | 'isSuspect' | 'hasFailedElsewhere' | 'priority' | 'objectiveInMs' | 'maxQueueMs'
+>;
+
+/** The time that tasks have that are to wait at agents. */
+type QueueGoal = Omit<PlacementGoal, 'count'>;
 
 const NO_AGENTS: readonly string[] = [];
 
@@ -159,6 +169,8 @@
       const outstanding = this.runs.find(agent, jobId, taskIndex);
       if (outstanding?.run !== run) return;
       this.runs.remove(agent, jobId, taskIndex);
+      // A task that was queued at the agent may have been started since.
+      if (end !== 'unqueued') outstanding.job.mayHaveRun = true;
       if (outstanding.job.isOpen && outstanding.job.isAssigned(taskIndex, agent, run)) {
         this.applyEnd(outstanding.job, taskIndex, agent, end);
       }
@@ -363,19 +375,12 @@
     this.refuseIfHopeless(job, rooms);
     if (!job.isOpen || this.hasEarlierRuns(job)) return;
     const { step, objectiveAt } = job;
-    const { crashRecords } = this.host;
     const waitingBefore = job.waitingTasks.length;
     const { bestSlowness } = rooms;
     const slackMs = objectiveAt - performance.now();
     const goal = { estimateMs: step.estimateMs, slackMs, bestSlowness };
     [RESERVED_TASKS, 0].forEach((reservedTasks) => {
-      const groups = groupWaitingTasks(job, {
-        isSuspect: (index) => crashRecords.isSuspect(job.id, index),
-        mustWait: (index) =>
-          crashRecords.mustWait(job.id, index) || this.agentsBoundTo(job.id, index).length > 1,
-        boundTo: (index) => this.agentsBoundTo(job.id, index)[0],
-      });
-      groups.forEach((group) => {
+      this.groupTasks(job).forEach((group) => {
         const count = group.indexes.length;
         const placements =
           group.boundTo === undefined
@@ -388,11 +393,36 @@
         this.assignGroup(job, group, placements, rooms);
       });
     });
+    this.queueAtAgents(job, rooms, goal);
     const waitingTasks = job.waitingTasks.length;
     load.placedWork += workOf(step, waitingBefore - waitingTasks);
     if (waitingTasks === 0) this.queue.delete(job);
   }
 
+  private groupTasks(job: ActiveJob): TaskGroup[] {
+    const { crashRecords } = this.host;
+    return groupWaitingTasks(job, {
+      isSuspect: (index) => crashRecords.isSuspect(job.id, index),
+      mustWait: (index) =>
+        crashRecords.mustWait(job.id, index) || this.agentsBoundTo(job.id, index).length > 1,
+      boundTo: (index) => this.agentsBoundTo(job.id, index)[0],
+    });
+  }
+
+  /** Has the tasks of a job that have room nowhere wait at agents. */
+  private queueAtAgents(job: ActiveJob, rooms: WorkerRooms, goal: QueueGoal): void {
+    const { queueing, random } = this.host;
+    if (!queueing || job.waitingTasks.length === 0) return;
+    this.groupTasks(job)
+      .filter(({ boundTo, isSuspect }) => boundTo === undefined && !isSuspect)
+      .forEach((group) => {
+        const queues = rooms.findQueues(job.step, group.avoidedAgents);
+        const count = group.indexes.length;
+        const placements = placeWaitingTasks(queues, { ...goal, count }, queueing, random);
+        this.assignGroup(job, group, placements, rooms);
+      });
+  }
+
   private assignGroup(
     job: ActiveJob,
     { indexes, avoidedAgents, isSuspect }: TaskGroup,
@@ -404,6 +434,7 @@
       const end = assignedCount + placement.count;
       const hasFailedElsewhere = [...avoidedAgents].some((name) => name !== placement.agent);
       const traits = { bestSlowness: rooms.bestSlowness, isSuspect, hasFailedElsewhere };
+
       this.assign(job, placement, indexes.slice(assignedCount, end), traits);
       rooms.refresh(placement.agent);
       assignedCount = end;
@@ -463,7 +494,8 @@
     runs.forEach(([index, run]) =>
       this.runs.add(agent, { job, index, run, incarnation, assignedAt }),
     );
-    void this.sendAssignment(job, connection, runs, traits);
+    const queueFields = queueFieldsOf(job, this.host.queueing, assignedAt);
+    void this.sendAssignment(job, connection, runs, { ...traits, ...queueFields });
   }
 
   private async sendAssignment(
@@ -475,7 +507,11 @@
     const { request, route, step } = job;
     const { name } = connection;
     try {
-      const { taken, reason } = await connection.assign({
+      const {
+        taken,
+        queued = [],
+        reason,
+      } = await connection.assign({
         job: request.id,
         occurrence: 0,
         step: 0,
@@ -490,7 +526,7 @@
         runs,
       });
       if (taken.length > 0) job.mayHaveRun = true;
-      const declined = runs.filter(([index]) => !taken.includes(index));
+      const declined = runs.filter(([index]) => !taken.includes(index) && !queued.includes(index));
       if (declined.length > 0) {
         this.host.log.info(
           { job: job.id, agent: name, declined: declined.length, reason },
@@ -500,8 +536,8 @@
         declined.forEach(([index, run]) => this.requeue(job, index, name, run));
       }
       // The job may have been removed while the assignment was under way. The runs that the agent has
-      // admitted are then abandoned now.
-      if (!job.isOpen && taken.length > 0) connection.abandon([job.id]);
+      // admitted or queued are then abandoned now.
+      if (!job.isOpen && taken.length + queued.length > 0) connection.abandon([job.id]);
     } catch (error) {
       this.handleAssignFailure(job, name, runs, error);
     }
@@ -538,6 +574,8 @@
     this.runs.removeDetached(outstanding);
     this.schedulePass();
     if (!job.isOpen || !job.isAssigned(index, agent, run)) return;
+    // Also a task that was queued there may have been started.
+    job.mayHaveRun = true;
     this.applyEnd(job, index, agent, 'lapsed');
   }
 
@@ -568,7 +606,7 @@
         this.host.log.info({ job: job.id, index, agent, run: task.run }, 'task_lapsed');
         this.requeueAfterEnd(job, index);
       })
-      .with('stopped', () => this.requeueAfterEnd(job, index))
+      .with('stopped', 'unqueued', () => this.requeueAfterEnd(job, index))
       .exhaustive();
   }
 
--- a/packages/dispatch/src/WorkerRooms.ts
+++ b/packages/dispatch/src/WorkerRooms.ts
@@ -1,8 +1,10 @@
-import { countFitting, fits } from '@marjorammast/protocol';
+import { countFitting, fits, scaleResources } from '@marjorammast/protocol';
 import type { Resources, WorkerView } from '@marjorammast/protocol';
 import type { AgentConnection } from './AgentConnection';
+import { QUEUE_CAPACITY_SHARE } from './constants';
 import type { Step } from './job';
 import type { Candidate, Placement } from './placeTasks';
+import type { QueueCandidate } from './placeWaitingTasks';
 
 /** What placement needs to know of the entry and its data centres. */
 export type RoomFilter = {
@@ -143,6 +145,25 @@
     );
   }
 
+  /**
+   * Finds the agents at which tasks of a step may wait for room.
+   *
+   * @param step - the step
+   * @param avoidedAgents - agents that are not used
+   * @returns one candidate for each agent with a queue
+   */
+  findQueues(step: Step, avoidedAgents: ReadonlySet<string>): QueueCandidate[] {
+    const isChosen = this.choiceFor(step);
+    return this.rooms.flatMap(({ connection: { name }, view }) => {
+      const { queueMs, state, slowness } = view;
+      const isUsable = isChosen(name) && !avoidedAgents.has(name) && !this.avoidedAgents.has(name);
+      if (queueMs === undefined || state !== 'open' || !isUsable || !canRun(step, view)) return [];
+      const queueShare = scaleResources(view.capacity, QUEUE_CAPACITY_SHARE);
+      const queueTasks = Math.max(1, countFitting(step.needs, queueShare));
+      return [{ agent: name, slowness, queueMs, queueTasks }];
+    });
+  }
+
   /**
    * Places tasks that are bound to one agent. Neither the speed of its worker nor the confinement of the route
    * matters, since there is no other.
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -136,3 +136,6 @@
 
 /** Time after which a client is told to retry when the service has no workers, in milliseconds. */
 export const NO_WORKERS_RETRY_AFTER_MS = 1_000;
+
+/** Part of a worker's capacity that the tasks waiting at its agent may need together. */
+export const QUEUE_CAPACITY_SHARE = 1 / 4;
--- a/packages/gate/src/EntryConnections.ts
+++ b/packages/gate/src/EntryConnections.ts
@@ -18,7 +18,7 @@
 export type EntryConnectionsHost = {
   /** State of the worker, as it is sent to the entries. */
   view: () => WorkerView;
-  /** Identifiers of the connections whose entries have runs on the worker. */
+  /** Identifiers of the connections whose entries have runs on the worker, or tasks that wait for it. */
   ownersOfRuns: () => ReadonlySet<string>;
   /** Called when a connection was closed, by either side. */
   onDetached: (id: string) => number;
@@ -50,6 +50,9 @@
 export class EntryConnections {
   private readonly connections = new Map<Link, EntryConnection>();
 
+  /** The same connections by their identifiers. */
+  private readonly connectionsById = new Map<string, EntryConnection>();
+
   private connectionCount = 0;
 
   private viewTimer: NodeJS.Timeout | undefined;
@@ -82,7 +85,7 @@
    */
   add(entry: string, link: Link): void {
     this.connectionCount += 1;
-    this.connections.set(link, {
+    const connection = {
       id: `${entry}#${this.connectionCount}`,
       link,
       entry,
@@ -91,7 +94,9 @@
       pendingEnds: [],
       wasDeclined: false,
       known: this.host.view(),
-    });
+    };
+    this.connections.set(link, connection);
+    this.connectionsById.set(connection.id, connection);
     link.onClose(() => this.remove(link));
   }
 
@@ -124,7 +129,7 @@
    * @returns true while its entry has not been silent for so long that its runs are stopped
    */
   isHeard(id: string): boolean {
-    const connection = [...this.connections.values()].find((other) => other.id === id);
+    const connection = this.connectionsById.get(id);
     return (
       connection !== undefined && performance.now() - connection.lastContactAt < ENTRY_TIMEOUT_MS
     );
@@ -167,13 +172,14 @@
    * @param how - how it ended
    * @param ms - time since its admission, in milliseconds
    */
-  reportEnd(run: Run, how: RunEnd, ms: number): void {
-    const connection = [...this.connections.values()].find(({ id }) => id === run.ownerId);
+  reportEnd(run: Pick<Run, 'task' | 'run' | 'ownerId'>, how: RunEnd, ms: number): void {
+    const connection = this.connectionsById.get(run.ownerId);
     if (connection) {
       if (connection.pendingEnds.length === 0) setImmediate(() => this.sendEnds(connection));
       connection.pendingEnds.push([run.task.job, run.task.index, run.run, how, Math.round(ms)]);
     }
-    this.notifyDeclined();
+    // A task that only waited has left no room behind.
+    if (how !== 'unqueued') this.notifyDeclined();
   }
 
   /**
@@ -243,6 +249,7 @@
     const connection = this.connections.get(link);
     if (!connection) return;
     this.connections.delete(link);
+    this.connectionsById.delete(connection.id);
     const stopped = this.host.onDetached(connection.id);
     this.host.log.info({ entry: connection.entry, stopped }, 'entry_detached');
   }
@@ -261,10 +268,10 @@
   private sendEnds(connection: EntryConnection): void {
     this.sendUnsettled();
     const runs = connection.pendingEnds;
-    const { free } = this.host.view();
+    const { free, queueMs } = this.host.view();
     connection.pendingEnds = [];
     this.recordFree(connection, free);
-    connection.link.notify('ended', { runs, free });
+    connection.link.notify('ended', { runs, free, queueMs });
   }
 
   /** Sends the view at once to entries whose last assignment was not admitted in full. */
--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -4,6 +4,7 @@
   AdmissionRules,
   Link,
   Params,
+  Resources,
   Result,
   RunEnd,
   UnsettledTasks,
@@ -20,6 +21,8 @@
 import { incarnationOf } from './incarnationOf';
 import { isSameIncarnation } from './isSameIncarnation';
 import { probationDelay, probationRemainingMs } from './probation';
+import { QueuedStarts } from './QueuedStarts';
+import type { QueuedWorker, UnqueuedReason } from './QueuedStarts';
 import { SlownessEstimate, findSlowRuns } from './SlownessEstimate';
 import { UnsettledStarts } from './UnsettledStarts';
 import type { UnsettledStart } from './UnsettledStarts';
@@ -38,6 +41,10 @@
   /** A start without an answer was carried out, by the incarnation it was sent to or by a later one. */
   startedLate: (incarnation: 'same' | 'later') => void;
   crashed: (lostRuns: number) => void;
+  /** Tasks of an assignment were queued. */
+  queued: (tasks: number) => void;
+  /** A queued task was given back. */
+  unqueued: (reason: UnqueuedReason) => void;
 };
 
 /** Configuration and dependencies of an agent. */
@@ -89,6 +96,8 @@
     this.connections.reportUnsettled(task),
   );
 
+  private readonly queuedStarts: QueuedStarts;
+
   private isStopping = false;
 
   /** Ends an ejection, a slowdown or a probation, which changes the view without any other event. */
@@ -98,8 +107,12 @@
     this.server = this.createServer();
     this.connections = EntryConnections.create({
       view: () => this.view,
-      ownersOfRuns: () => new Set(this.runs.map((run) => run.ownerId)),
-      onDetached: (id) => this.abandonRuns((run) => run.ownerId === id),
+      ownersOfRuns: () =>
+        new Set([...this.runs.map((run) => run.ownerId), ...this.queuedStarts.owners]),
+      onDetached: (id) => {
+        this.queuedStarts.giveBack(({ ownerId }) => ownerId === id, 'entryLost');
+        return this.abandonRuns((run) => run.ownerId === id);
+      },
       log: options.log,
     });
     this.crashReports = CrashReports.create({
@@ -107,6 +120,7 @@
       send: (report) => this.connections.sendCrash(report),
       log: options.log,
     });
+    this.queuedStarts = this.createQueuedStarts();
   }
 
   /**
@@ -160,9 +174,10 @@
   async stop(timeoutMs: number): Promise<void> {
     this.isStopping = true;
     this.options.log.info({ runs: this.session?.runCount ?? 0 }, 'stopping');
-    this.connections.handleChange();
+    this.handleChange();
     const end = performance.now() + timeoutMs;
-    while ((this.session?.runCount ?? 0) > 0 && performance.now() < end) {
+    const hasTasks = () => (this.session?.runCount ?? 0) + this.queuedStarts.size > 0;
+    while (hasTasks() && performance.now() < end) {
       await sleep(STOP_POLL_PERIOD_MS);
     }
     this.halt();
@@ -171,6 +186,7 @@
   /** Stops at once, without waiting for the runs in progress. */
   halt(): void {
     clearTimeout(this.recoveryTimer);
+    this.queuedStarts.halt();
     this.connections.closeAll();
     this.endSession('agent stopped');
     this.handover = { ...this.handover, unconfirmed: [] };
@@ -185,14 +201,20 @@
       service: session?.latestReport.service ?? '',
       labels: session?.latestReport.labels ?? [],
       capacity: session?.latestReport.capacity ?? NO_RESOURCES,
-      free: session && !this.isOnProbation ? session.free : NO_RESOURCES,
+      free: this.queuedStarts.free,
       state: reason ? 'closed' : openState,
       reason,
       slowness: this.slowness.value,
       incarnation: session ? incarnationOf(session.identity) : '',
+      queueMs: reason ? undefined : this.queuedStarts.waitMs,
     };
   }
 
+  /** Number of tasks that wait for room. */
+  get queuedTasks(): number {
+    return this.queuedStarts.size;
+  }
+
   private get unavailableReason(): string {
     if (this.isStopping) return 'agent stopping';
     if (!this.session) return 'no worker';
@@ -200,6 +222,41 @@
     return this.health.state === 'ejected' ? 'ejected' : '';
   }
 
+  private createQueuedStarts(): QueuedStarts {
+    const { log, meter } = this.options;
+    return QueuedStarts.create({
+      worker: () => this.queuedWorker,
+      free: () => (this.session && !this.isOnProbation ? this.session.free : NO_RESOURCES),
+      admit: (assignment, free) => admit(assignment, this.admissionStateFor(assignment, free)),
+      isHeard: (ownerId) => this.connections.isHeard(ownerId),
+      start: ({ assignment, task, run, ownerId }) => {
+        this.session?.startRun(createRun(assignment, task.index, run, ownerId, 0));
+        this.connections.handleChange();
+      },
+      onUnqueued: (queued, reason, ms) => {
+        meter.unqueued(reason);
+        this.connections.reportEnd(queued, 'unqueued', ms);
+        this.connections.handleChange();
+      },
+      log,
+    });
+  }
+
+  private get queuedWorker(): QueuedWorker {
+    const { session } = this;
+    return {
+      runs: this.runs,
+      capacity: session?.latestReport.capacity ?? NO_RESOURCES,
+      slowness: this.slowness.value,
+    };
+  }
+
+  /** Handles a change of what may start on the worker, or of what the entries know of it. */
+  private handleChange(): void {
+    this.connections.handleChange();
+    this.queuedStarts.schedule();
+  }
+
   private createHealth(): WorkerHealth {
     return WorkerHealth.create(() => performance.now());
   }
@@ -221,7 +278,7 @@
         this.recordLateStart(start, listedBorn),
       onUnhealthy: (run: Run) => this.recordFailure(run, 'unhealthy'),
       onStalled: (run: Run) => this.recordFailureOfTask(run, 'stalled'),
-      onChanged: () => this.connections.handleChange(),
+      onChanged: () => this.handleChange(),
       findRunsToMove: (runs: readonly Run[]) => this.findRunsToMove(runs),
       onReplaced: () => this.replaceSession(),
       onLeft: () => this.endSession('worker deregistered'),
@@ -233,7 +290,7 @@
     this.session = WorkerSession.create(firstReport, host, this.handover);
     this.lastWorkerId = id;
     this.handover = { ...this.handover, unconfirmed: [] };
-    this.connections.handleChange();
+    this.handleChange();
   }
 
   /**
@@ -268,6 +325,7 @@
     const { session } = this;
     if (!session) return;
     this.session = undefined;
+    this.queuedStarts.giveBack(() => true, 'workerLost');
     const { id, born } = session.identity;
     this.options.log.info({ worker: id, born, reason, runs: session.runCount }, 'worker_ended');
     this.handover = session.end(hasCrashed);
@@ -276,7 +334,7 @@
       .filter(({ pendingStarts }) => pendingStarts > 0)
       .forEach(({ task, run }) => this.unsettledStarts.add(task, run, session.identity));
     if (runs.length > 0) setTimeout(() => this.expireUnconfirmed(runs), UNCONFIRMED_RUN_MS);
-    this.connections.handleChange();
+    this.handleChange();
   }
 
   private recordLateStart(start: UnsettledStart, listedBorn: number): void {
@@ -310,7 +368,10 @@
         abandon: ({ jobs }, link) => {
           const owner = this.connections.idOf(link);
           // Another entry may have the same job, after its client has sent it again.
-          this.abandonRuns((run) => run.ownerId === owner && jobs.includes(run.task.job));
+          const isAbandoned = (run: Pick<Run, 'task' | 'ownerId'>) =>
+            run.ownerId === owner && jobs.includes(run.task.job);
+          this.queuedStarts.giveBack(isAbandoned, 'abandoned');
+          this.abandonRuns(isAbandoned);
           return {};
         },
         renew: (_, link) => {
@@ -348,31 +409,49 @@
     const { revision, outDataCenters } = rules;
     this.options.log.info({ revision, out: outDataCenters.join(',') }, 'rules_applied');
     this.connections.sendRules(rules);
+    this.queuedStarts.schedule();
   }
 
   private assign(assignment: Assignment, link: Link): Result<'assign'> {
     this.connections.recordContact(link);
-    const { reason, count } = admit(assignment, this.admissionStateFor(assignment, link));
+    const free = this.queuedStarts.freeFor(assignment, this.session?.free ?? NO_RESOURCES);
+    const state = this.admissionStateFor(assignment, free);
+    const isAttached = this.connections.has(link);
+    const { reason, count } = admit(assignment, { ...state, isOpen: state.isOpen && isAttached });
     const admitted = assignment.runs.slice(0, count);
     const ownerId = this.connections.idOf(link);
     const startDelayMs = this.startDelayFor(assignment);
     admitted.forEach(([index, run]) =>
       this.session?.startRun(createRun(assignment, index, run, ownerId, startDelayMs)),
     );
-    const declined = assignment.runs.length - admitted.length;
+    const isQueueable = reason === 'room' && !state.isOnTrial;
+    const rest = isQueueable ? assignment.runs.slice(count) : [];
+    const queued = this.queuedStarts.join(assignment, rest, ownerId, state.ageMs);
+    const declined = assignment.runs.length - admitted.length - queued.length;
     if (assignment.isSuspect && admitted.length > 0) this.scheduleRecovery();
     this.connections.recordAssignment(link, assignment.needs, declined > 0);
     this.options.meter.assigned(admitted.length, declined, reason ?? '');
+    if (queued.length > 0) this.options.meter.queued(queued.length);
     const entry = this.connections.nameOf(link);
     this.options.log.info(
-      { job: assignment.job, taken: admitted.length, declined, reason, entry },
+      {
+        job: assignment.job,
+        taken: admitted.length,
+        queued: queued.length || undefined,
+        declined,
+        reason,
+        entry,
+      },
       'assigned',
     );
-    this.connections.handleChange();
+    this.handleChange();
+    const { free: freeNow, queueMs } = this.view;
     return {
       taken: admitted.map(([index]) => index),
+      queued: queued.length > 0 ? queued : undefined,
       reason: declined > 0 ? (reason ?? 'room') : undefined,
-      free: this.view.free,
+      free: freeNow,
+      queueMs,
       clock: this.options.clock(),
       unsettled: this.unsettledTasksOf(link),
     };
@@ -381,26 +460,30 @@
   /** Tasks of an entry's runs whose start commands have not been sent, or have no answer. */
   private unsettledTasksOf(link: Link): UnsettledTasks {
     const owner = this.connections.idOf(link);
-    return this.runs
-      .filter(({ ownerId, state, pendingStarts }) => {
-        const isUnsettled = state === 'waiting' || pendingStarts > 0;
-        return ownerId === owner && isUnsettled;
-      })
-      .map(({ task }) => [task.job, task.index, this.lastWorkerId]);
+    const unsettledRuns = this.runs.filter(({ ownerId, state, pendingStarts }) => {
+      const isUnsettled = state === 'waiting' || pendingStarts > 0;
+      return ownerId === owner && isUnsettled;
+    });
+    // A queued task may start, and its start may get no answer, after the entry has heard from this agent last.
+    return [...unsettledRuns, ...this.queuedStarts.tasksOf(owner)].map(({ task }) => [
+      task.job,
+      task.index,
+      this.lastWorkerId,
+    ]);
   }
 
-  private admissionStateFor(assignment: Assignment, link: Link): AdmissionState {
+  private admissionStateFor(assignment: Assignment, free: Resources): AdmissionState {
     const { session, options } = this;
     const { job, occurrence, step, echo, heldMs, runs } = assignment;
     const isOfStep = ({ task }: Run) =>
       task.job === job && task.occurrence === occurrence && task.step === step;
     return {
-      isOpen: session !== undefined && !this.unavailableReason && this.connections.has(link),
+      isOpen: session !== undefined && !this.unavailableReason,
       ageMs: options.clock() - echo - heldMs,
       isDataCenterOut: this.rules.outDataCenters.includes(options.dataCenter),
       service: session?.latestReport.service ?? '',
       labels: session?.latestReport.labels ?? [],
-      free: session?.free ?? NO_RESOURCES,
+      free,
       runs: session?.runCount ?? 0,
       runsOfStep: session?.select(isOfStep).length ?? 0,
       isTaskRunning: runs.some(([index]) => this.isTaskRunning(assignment, index)),
@@ -462,7 +545,7 @@
     if (how === 'done') this.recordSuccess(run, ms);
     if (how === 'failed') this.recordFailureOfTask(run, how);
     this.connections.reportEnd(run, how, ms);
-    this.connections.handleChange();
+    this.handleChange();
   }
 
   private recordSuccess(run: Run, ms: number): void {
@@ -477,7 +560,7 @@
         { slowness: this.slowness.value, runs: runs.length },
         'slowness_changed',
       );
-      this.connections.handleChange();
+      this.handleChange();
       this.scheduleRecovery();
     }
     return findSlowRuns(runs, this.slowness.value, now);
@@ -491,7 +574,7 @@
   private recordFailure(run: Run, how: string): void {
     if (!this.health.recordFailure(run.task.job)) return;
     this.options.log.warn({ job: run.task.job, how }, 'worker_ejected');
-    this.connections.handleChange();
+    this.handleChange();
     this.scheduleRecovery();
   }
 
@@ -509,7 +592,7 @@
     this.recoveryTimer = setTimeout(
       () => {
         this.slowness.expireSlowdown(performance.now());
-        this.connections.handleChange();
+        this.handleChange();
         this.scheduleRecovery();
       },
       Math.ceil(delayMs) + 1,
--- a/packages/gate/tests/GateAgent.test.ts
+++ b/packages/gate/tests/GateAgent.test.ts
@@ -92,6 +92,8 @@
       endContradicted: jest.fn(),
       startedLate: jest.fn(),
       crashed: jest.fn(),
+      queued: jest.fn(),
+      unqueued: jest.fn(),
     },
   });
 
--- a/packages/proofs/tests/support/DispatchSimulation.ts
+++ b/packages/proofs/tests/support/DispatchSimulation.ts
@@ -1,7 +1,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { DispatchEntry } from '@marjorammast/dispatch';
-import type { JobOutcome } from '@marjorammast/dispatch';
+import type { JobOutcome, Queueing } from '@marjorammast/dispatch';
 import { GateAgent } from '@marjorammast/gate';
 import type { WorkerIdentity, WorkerReport } from '@marjorammast/gate';
 import { sleep } from '@marjorammast/protocol';
@@ -109,12 +109,21 @@
     routes: ['claims', 'lookups'].map(createRoute),
   };
 
+  /** Number of tasks that agents have queued. */
+  queuedTasks = 0;
+
   /** Number of clients that have not finished. */
   waitingClients = 0;
 
   private isHalted = false;
 
-  private constructor(seed: number, entryCount: number, agentCount: number, cpu: number) {
+  private constructor(
+    seed: number,
+    entryCount: number,
+    agentCount: number,
+    cpu: number,
+    private readonly queueing?: Queueing,
+  ) {
     this.random = createRandom(seed);
     this.network = Network.create(this.random);
     const capacity = { cpu, memoryMb: 1_000, accelerators: 0 };
@@ -140,6 +149,7 @@
    * @param entryCount - number of entries
    * @param agentCount - number of agents, each with one worker
    * @param cpu - CPU capacity of each worker, in thousandths of a core
+   * @param queueing - how tasks wait at agents; they do not if absent
    * @returns the running simulation
    */
   static create(
@@ -147,8 +157,9 @@
     entryCount: number,
     agentCount: number,
     cpu = 3_000,
+    queueing?: Queueing,
   ): DispatchSimulation {
-    return new DispatchSimulation(seed, entryCount, agentCount, cpu);
+    return new DispatchSimulation(seed, entryCount, agentCount, cpu, queueing);
   }
 
   /** Halts all entries and agents. */
@@ -210,6 +221,7 @@
       random: this.random,
       log: this.log,
       meter: { answered: () => undefined },
+      queueing: this.queueing,
     });
     this.network.listen(name, node.server);
     node.updatePeers(
@@ -261,6 +273,10 @@
         endContradicted: () => undefined,
         startedLate: () => undefined,
         crashed: () => undefined,
+        queued: (tasks: number) => {
+          this.queuedTasks += tasks;
+        },
+        unqueued: () => undefined,
       },
     };
     const node = runInProcess(timers, () => GateAgent.create(options));
--- a/packages/proofs/tests/support/dispatchSchedule.ts
+++ b/packages/proofs/tests/support/dispatchSchedule.ts
@@ -108,6 +108,8 @@
   hasSocketBuffers?: boolean;
   /** True when the leases of late commands count from their arrival. */
   countsLateLeasesFromArrival?: boolean;
+  /** True when tasks without room wait at the agents. */
+  isQueueing?: boolean;
 };
 
 const ENTRIES = 2;
@@ -127,6 +129,9 @@
 /** Time by which the start in an odd report lies in the future, in milliseconds. */
 const ODD_BIRTH_OFFSET_MS = 86_400_000;
 
+/** Longest wait of a task at an agent, in milliseconds. */
+const MAX_QUEUE_MS = 200;
+
 /** Step by which the fake time advances, in milliseconds. */
 const STEP_MS = 10;
 
@@ -168,6 +173,7 @@
   seed: fc.integer({ min: 1, max: 1_000_000 }),
   faults: fc.array(plannedFault, { maxLength: 6 }),
   jobs: fc.array(plannedJob, { minLength: 3, maxLength: 40 }),
+  isQueueing: fc.boolean(),
 });
 
 /** Number of agents of the schedules with crashing tasks. */
@@ -370,8 +376,10 @@
   schedule: DispatchSchedule,
   agentCount = AGENTS,
 ): Promise<DispatchSimulation> => {
-  const simulation = DispatchSimulation.create(schedule.seed, ENTRIES, agentCount);
   const { hasSocketBuffers = false, countsLateLeasesFromArrival = false } = schedule;
+  const queueing = schedule.isQueueing ? { maxQueueMs: MAX_QUEUE_MS } : undefined;
+  const { seed } = schedule;
+  const simulation = DispatchSimulation.create(seed, ENTRIES, agentCount, undefined, queueing);
   simulation.network.hasSocketBuffers = hasSocketBuffers;
   simulation.workers.forEach((worker) => Object.assign(worker, { countsLateLeasesFromArrival }));
   await jest.advanceTimersByTimeAsync(1_000);
--- a/packages/protocol/src/dispatchMessages.ts
+++ b/packages/protocol/src/dispatchMessages.ts
@@ -28,6 +28,11 @@
   slowness: z.number().positive(),
   /** Identifies the incarnation of the worker; empty without a worker. */
   incarnation: z.string().default(''),
+  /**
+   * Estimated time until a task that is queued at the agent now would start, in milliseconds. Absent while
+   * the agent queues nothing, and from agents without a queue.
+   */
+  queueMs: z.number().nonnegative().optional(),
 });
 
 /**
@@ -52,9 +57,17 @@
 /**
  * How a run ended. `notRun`: the run never started. `lapsed`: its lease expired or its worker was
  * replaced; it may have run in part but is no longer active. `stalled`: the agent stopped it for
- * lack of progress.
+ * lack of progress. `unqueued`: it waited at the agent and was never sent to the worker.
  */
-export const runEndSchema = z.enum(['done', 'failed', 'stopped', 'stalled', 'lapsed', 'notRun']);
+export const runEndSchema = z.enum([
+  'done',
+  'failed',
+  'stopped',
+  'stalled',
+  'lapsed',
+  'notRun',
+  'unqueued',
+]);
 
 /** Crash of one incarnation of a worker, or its silence, which may be a crash. */
 export const workerCrashSchema = z.object({
@@ -184,12 +197,22 @@
       echo: z.number(),
       /** Time since the entry received `echo`, in milliseconds. */
       heldMs: z.number(),
+      /** Priority of the job's route; lower numbers start first among the tasks that wait at the agent. */
+      priority: z.number().optional(),
+      /** Time until the job's latency objective, in milliseconds; negative once it has passed. */
+      objectiveInMs: z.number().optional(),
+      /** Longest time for which a task may wait at the agent, in milliseconds; absent or 0: none waits. */
+      maxQueueMs: z.number().nonnegative().optional(),
     }),
     result: z.object({
       /** Indexes of the admitted tasks. */
       taken: z.array(count),
+      /** Indexes of the tasks that wait at the agent until the worker has room for them. */
+      queued: z.array(count).optional(),
       /** Why the other tasks were declined. */
       reason: declineReasonSchema.optional(),
+      /** As in the view. */
+      queueMs: z.number().nonnegative().optional(),
       free: resourcesSchema,
       clock: z.number(),
       /** Tasks of this entry's runs whose starts have no answer yet. */
@@ -216,6 +239,8 @@
       /** Tuples of job, task index, run number, end, and time since admission in milliseconds. */
       runs: z.array(z.tuple([z.string(), count, count, runEndSchema, z.number()])),
       free: resourcesSchema,
+      /** As in the view. */
+      queueMs: z.number().nonnegative().optional(),
     }),
     result: z.object({}),
   },
--- a/packages/settings/src/daemonSettings.ts
+++ b/packages/settings/src/daemonSettings.ts
@@ -63,6 +63,17 @@
   ...dispatchDaemonSettings,
   clients: address.describe('HTTP address for clients.'),
   readiness: address.describe('Address of the readiness endpoint for the load balancer.'),
+  queueing: z
+    .strictObject({
+      maxQueueMs: z
+        .number()
+        .int()
+        .positive()
+        .max(200)
+        .describe('Longest time for which a task without room waits at an agent, in milliseconds.'),
+    })
+    .optional()
+    .describe('How tasks without room wait at agents; absent: they wait at the entry.'),
 });
 
 /** Settings of the agent of the dispatch design, which controls admission to one worker. */
