Queue at agents: full queues are known to the entries

Change: agents tell from which priority their queue is full; entries leave such a queue alone for 120 ms or until news, and count what they have asked.

--- a/packages/dispatch/src/AgentConnection.ts
+++ b/packages/dispatch/src/AgentConnection.ts
@@ -12,6 +12,8 @@
 } from '@marjorammast/protocol';
 import type { Log } from '@marjorammast/telemetry';
 import { ClockReading } from './ClockReading';
+import { QueueRequests } from './QueueRequests';
+import type { QueueNews } from './QueueRequests';
 import {
   AGENT_CALL_TIMEOUT_MS,
   ATTACH_TIMEOUT_MS,
@@ -89,6 +91,9 @@
   /** Monotonic time until which the agent gets no assignments because it declined one. */
   pausedUntil = 0;
 
+  /** What the agent has been asked to queue. */
+  readonly queueRequests = QueueRequests.create();
+
   private constructor(
     public agent: RegisteredProcess,
     private readonly host: AgentConnectionHost,
@@ -150,6 +155,7 @@
       this.host.log.info({ agent: this.name, state, reason }, 'agent_state');
     }
     this.workerView = view;
+    this.queueRequests.update(view, performance.now());
     this.pausedUntil = 0;
     this.host.onChange(this.name, view);
   }
@@ -158,10 +164,11 @@
    * Updates the free resources of the agent's worker.
    *
    * @param free - free resources as the agent counts them
-   * @param queueMs - estimated wait of a task that is queued at the agent, in milliseconds
+   * @param news - what it tells of its queue
    */
-  updateFree(free: Resources, queueMs?: number): void {
-    if (this.workerView) this.workerView = { ...this.workerView, free, queueMs };
+  updateFree(free: Resources, { queueMs, queueFullFor }: QueueNews = {}): void {
+    if (this.workerView) this.workerView = { ...this.workerView, free, queueMs, queueFullFor };
+    this.queueRequests.update({ queueMs, queueFullFor }, performance.now());
     this.pausedUntil = 0;
   }
 
@@ -187,7 +194,7 @@
       const answer = await link.call('assign', params, AGENT_CALL_TIMEOUT_MS);
       this.clockReading.update(answer.clock);
       this.startKnowledge = { unsettled: answer.unsettled, asOf };
-      this.updateFree(answer.free, answer.queueMs);
+      this.updateFree(answer.free, answer);
       return answer;
     } catch (error) {
       // It is unknown whether these runs started. The agent stops them when the connection closes.
--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -340,10 +340,10 @@
           findByLink(link)?.updateView(view);
           return {};
         },
-        ended: ({ runs, free, queueMs }, link) => {
+        ended: ({ runs, free, ...queueNews }, link) => {
           const connection = findByLink(link);
           if (!connection) return {};
-          connection.updateFree(free, queueMs);
+          connection.updateFree(free, queueNews);
           this.dispatcher.handleRunEnds(connection.name, runs);
           return {};
         },
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -1,6 +1,13 @@
 import { match } from 'ts-pattern';
-import { CallError } from '@marjorammast/protocol';
-import type { BoundTaskRows, Params, Route, RunEnd, UnsettledTasks } from '@marjorammast/protocol';
+import { CallError, countFitting } from '@marjorammast/protocol';
+import type {
+  BoundTaskRows,
+  Params,
+  Resources,
+  Route,
+  RunEnd,
+  UnsettledTasks,
+} from '@marjorammast/protocol';
 import type { Log } from '@marjorammast/telemetry';
 import type { ActiveJob } from './ActiveJob';
 import type { AgentConnection, Assignment, StartKnowledge } from './AgentConnection';
@@ -416,7 +423,7 @@
     this.groupTasks(job)
       .filter(({ boundTo, isSuspect }) => boundTo === undefined && !isSuspect)
       .forEach((group) => {
-        const queues = rooms.findQueues(job.step, group.avoidedAgents);
+        const queues = rooms.findQueues(job.step, group.avoidedAgents, job.route.priority);
         const count = group.indexes.length;
         const placements = placeWaitingTasks(queues, { ...goal, count }, queueing, random);
         this.assignGroup(job, group, placements, rooms);
@@ -506,6 +513,8 @@
   ): Promise<void> {
     const { request, route, step } = job;
     const { name } = connection;
+    const queueTasks = this.countQueueRequests(connection, step.needs, runs.length);
+    connection.queueRequests.send(queueTasks);
     try {
       const {
         taken,
@@ -540,9 +549,16 @@
       if (!job.isOpen && taken.length + queued.length > 0) connection.abandon([job.id]);
     } catch (error) {
       this.handleAssignFailure(job, name, runs, error);
+    } finally {
+      connection.queueRequests.settle(queueTasks);
     }
   }
 
+  /** Number of tasks of an assignment that do not fit as far as this entry knows. */
+  private countQueueRequests({ free }: AgentConnection, needs: Resources, tasks: number): number {
+    return this.host.queueing ? Math.max(0, tasks - countFitting(needs, free)) : 0;
+  }
+
   /**
    * Handles an assignment without an answer. After `notSent` the agent certainly received nothing,
    * and the tasks are queued again at once. After any other fault the runs may have started, and
--- a/packages/dispatch/src/WorkerRooms.ts
+++ b/packages/dispatch/src/WorkerRooms.ts
@@ -150,17 +150,21 @@
    *
    * @param step - the step
    * @param avoidedAgents - agents that are not used
+   * @param priority - priority of the job's route
    * @returns one candidate for each agent with a queue
    */
-  findQueues(step: Step, avoidedAgents: ReadonlySet<string>): QueueCandidate[] {
+  findQueues(step: Step, avoidedAgents: ReadonlySet<string>, priority: number): QueueCandidate[] {
+    const now = performance.now();
     const isChosen = this.choiceFor(step);
-    return this.rooms.flatMap(({ connection: { name }, view }) => {
+    const isAvoided = (name: string) => avoidedAgents.has(name) || this.avoidedAgents.has(name);
+    return this.rooms.flatMap(({ connection: { name, queueRequests }, view }) => {
       const { queueMs, state, slowness } = view;
-      const isUsable = isChosen(name) && !avoidedAgents.has(name) && !this.avoidedAgents.has(name);
-      if (queueMs === undefined || state !== 'open' || !isUsable || !canRun(step, view)) return [];
+      const isUsable = isChosen(name) && !isAvoided(name) && state === 'open';
+      if (queueMs === undefined || !isUsable || !canRun(step, view)) return [];
       const queueShare = scaleResources(view.capacity, QUEUE_CAPACITY_SHARE);
-      const queueTasks = Math.max(1, countFitting(step.needs, queueShare));
-      return [{ agent: name, slowness, queueMs, queueTasks }];
+      const limit = Math.max(1, countFitting(step.needs, queueShare));
+      const queueTasks = queueRequests.openTasks(limit, priority, now);
+      return queueTasks > 0 ? [{ agent: name, slowness, queueMs, queueTasks }] : [];
     });
   }
 
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -139,3 +139,6 @@
 
 /** Part of a worker's capacity that the tasks waiting at its agent may need together. */
 export const QUEUE_CAPACITY_SHARE = 1 / 4;
+
+/** Time for which the queue of an agent counts as full after the agent has told so, in milliseconds. */
+export const FULL_QUEUE_RETENTION_MS = 120;
--- a/packages/gate/src/AdmissionQueue.ts
+++ b/packages/gate/src/AdmissionQueue.ts
@@ -105,6 +105,19 @@
     return withoutDeficits(subtractResources(free, this.needsAhead(urgency)));
   }
 
+  /**
+   * Finds the tasks that find no place.
+   *
+   * @param needs - resources that a typical task needs
+   * @param capacity - capacity of the worker
+   * @returns the priority from which a task displaces none; `undefined` when there is place for all
+   */
+  fullFor(needs: Resources, capacity: Resources): number | undefined {
+    const limit = scaleResources(capacity, QUEUE_CAPACITY_SHARE);
+    const last = this.tasks[this.tasks.length - 1];
+    return last && !fits(addResources(this.needs, needs), limit) ? last.priority : undefined;
+  }
+
   /**
    * Adds a task if the waiting tasks then need at most a part of the capacity, or if it is the only one. When
    * the queue is full, less urgent tasks give way to it, and among those of equal priority the last ones of the
--- a/packages/gate/src/EntryConnections.ts
+++ b/packages/gate/src/EntryConnections.ts
@@ -268,10 +268,10 @@
   private sendEnds(connection: EntryConnection): void {
     this.sendUnsettled();
     const runs = connection.pendingEnds;
-    const { free, queueMs } = this.host.view();
+    const { free, queueMs, queueFullFor } = this.host.view();
     connection.pendingEnds = [];
     this.recordFree(connection, free);
-    connection.link.notify('ended', { runs, free, queueMs });
+    connection.link.notify('ended', { runs, free, queueMs, queueFullFor });
   }
 
   /** Sends the view at once to entries whose last assignment was not admitted in full. */
--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -206,7 +206,7 @@
       reason,
       slowness: this.slowness.value,
       incarnation: session ? incarnationOf(session.identity) : '',
-      queueMs: reason ? undefined : this.queuedStarts.waitMs,
+      ...(reason ? {} : this.queuedStarts.news),
     };
   }
 
@@ -445,13 +445,14 @@
       'assigned',
     );
     this.handleChange();
-    const { free: freeNow, queueMs } = this.view;
+    const { free: freeNow, queueMs, queueFullFor } = this.view;
     return {
       taken: admitted.map(([index]) => index),
       queued: queued.length > 0 ? queued : undefined,
       reason: declined > 0 ? (reason ?? 'room') : undefined,
       free: freeNow,
       queueMs,
+      queueFullFor,
       clock: this.options.clock(),
       unsettled: this.unsettledTasksOf(link),
     };
--- a/packages/gate/src/QueuedStarts.ts
+++ b/packages/gate/src/QueuedStarts.ts
@@ -1,6 +1,6 @@
 import { match } from 'ts-pattern';
 import { NO_RESOURCES, subtractResources, taskKey, withoutDeficits } from '@marjorammast/protocol';
-import type { DeclineReason, Params, Resources } from '@marjorammast/protocol';
+import type { DeclineReason, Params, Resources, WorkerView } from '@marjorammast/protocol';
 import type { Log } from '@marjorammast/telemetry';
 import { AdmissionQueue } from './AdmissionQueue';
 import type { StartDecision, Urgency, WaitingTask } from './AdmissionQueue';
@@ -23,6 +23,9 @@
 export type UnqueuedReason =
   DeclineReason | 'displaced' | 'expired' | 'abandoned' | 'entryLost' | 'workerLost';
 
+/** What the entries are told of the queue. */
+export type QueueNews = Pick<WorkerView, 'queueMs' | 'queueFullFor'>;
+
 /** State of the worker as the queue sees it. */
 export type QueuedWorker = {
   runs: readonly Run[];
@@ -91,14 +94,15 @@
     return this.size === 0 ? free : withoutDeficits(subtractResources(free, this.queue.needs));
   }
 
-  /** Estimated wait of a task that needs as much as the mean of the runs; `undefined` while not in use. */
-  get waitMs(): number | undefined {
-    if (!this.isInUse) return undefined;
-    const worker = this.host.worker();
-    const needs = meanNeeds(worker.runs);
-    const state = { ...worker, free: this.host.free(), needs, needsAhead: this.queue.needs };
+  /** What the entries are told of the queue: for a task that needs as much as the mean of the runs. */
+  get news(): QueueNews {
+    if (!this.isInUse) return {};
+    const { runs, capacity, slowness } = this.host.worker();
+    const needs = meanNeeds(runs);
+    const state = { runs, slowness, free: this.host.free(), needs, needsAhead: this.queue.needs };
     const waitMs = estimateQueueWait(state, performance.now());
-    return Number.isFinite(waitMs) ? waitMs : undefined;
+    if (!Number.isFinite(waitMs)) return {};
+    return { queueMs: waitMs, queueFullFor: this.queue.fullFor(needs, capacity) };
   }
 
   /**
--- a/packages/proofs/tests/support/DispatchSimulation.ts
+++ b/packages/proofs/tests/support/DispatchSimulation.ts
@@ -109,8 +109,8 @@
     routes: ['claims', 'lookups'].map(createRoute),
   };
 
-  /** Number of tasks that agents have queued. */
-  queuedTasks = 0;
+  /** What all agents have answered for tasks, and what they have given back. */
+  readonly admissions = { taken: 0, declined: 0, queued: 0, unqueued: 0 };
 
   /** Number of clients that have not finished. */
   waitingClients = 0;
@@ -268,15 +268,20 @@
       clock: () => performance.now(),
       log: this.log,
       meter: {
-        assigned: () => undefined,
+        assigned: (taken: number, declined: number) => {
+          this.admissions.taken += taken;
+          this.admissions.declined += declined;
+        },
         ended: () => undefined,
         endContradicted: () => undefined,
         startedLate: () => undefined,
         crashed: () => undefined,
         queued: (tasks: number) => {
-          this.queuedTasks += tasks;
+          this.admissions.queued += tasks;
+        },
+        unqueued: () => {
+          this.admissions.unqueued += 1;
         },
-        unqueued: () => undefined,
       },
     };
     const node = runInProcess(timers, () => GateAgent.create(options));
--- a/packages/protocol/src/dispatchMessages.ts
+++ b/packages/protocol/src/dispatchMessages.ts
@@ -10,6 +10,14 @@
   accelerators: z.number().nonnegative(),
 });
 
+/** What an agent tells of its queue. Absent while no entry has asked to queue tasks, and from agents without one. */
+const queueFields = {
+  /** Estimated time until a task that is queued at the agent now would start, in milliseconds. */
+  queueMs: z.number().nonnegative().optional(),
+  /** Tasks of routes with this priority and less urgent ones find no place; absent: there is place for all. */
+  queueFullFor: z.number().optional(),
+};
+
 /** State of a worker, which its agent sends to the entries. */
 export const workerViewSchema = z.object({
   service: z.string(),
@@ -28,11 +36,7 @@
   slowness: z.number().positive(),
   /** Identifies the incarnation of the worker; empty without a worker. */
   incarnation: z.string().default(''),
-  /**
-   * Estimated time until a task that is queued at the agent now would start, in milliseconds. Absent while
-   * the agent queues nothing, and from agents without a queue.
-   */
-  queueMs: z.number().nonnegative().optional(),
+  ...queueFields,
 });
 
 /**
@@ -211,8 +215,7 @@
       queued: z.array(count).optional(),
       /** Why the other tasks were declined. */
       reason: declineReasonSchema.optional(),
-      /** As in the view. */
-      queueMs: z.number().nonnegative().optional(),
+      ...queueFields,
       free: resourcesSchema,
       clock: z.number(),
       /** Tasks of this entry's runs whose starts have no answer yet. */
@@ -239,8 +242,7 @@
       /** Tuples of job, task index, run number, end, and time since admission in milliseconds. */
       runs: z.array(z.tuple([z.string(), count, count, runEndSchema, z.number()])),
       free: resourcesSchema,
-      /** As in the view. */
-      queueMs: z.number().nonnegative().optional(),
+      ...queueFields,
     }),
     result: z.object({}),
   },
