--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -514,7 +514,7 @@
     const { request, route, step } = job;
     const { name } = connection;
     const queueTasks = this.countQueueRequests(connection, step.needs, runs.length);
-    connection.queueRequests.send(queueTasks);
+    if (queueTasks > 0) connection.queueRequests.send(queueTasks);
     try {
       const {
         taken,
@@ -550,7 +550,7 @@
     } catch (error) {
       this.handleAssignFailure(job, name, runs, error);
     } finally {
-      connection.queueRequests.settle(queueTasks);
+      if (queueTasks > 0) connection.queueRequests.settle(queueTasks);
     }
   }
 
