Proofs: generated schedules with queues at the agents

Cause: the schedules with crashing tasks and late commands had no queues, and nothing showed that tasks wait at all under the directed faults. Change: half of these schedules have queues too; each directed fault is also played while tasks wait, and the number of queued tasks is checked.

--- a/packages/proofs/tests/dispatch.test.ts
+++ b/packages/proofs/tests/dispatch.test.ts
@@ -39,6 +39,22 @@
   other,
 });
 
+/** Faults with the time that each lasts, in milliseconds. */
+const FAULT_TIMES = [
+  ['killEntry', 800],
+  ['killAgent', 1_500],
+  ['freezeEntry', 1_200],
+  ['freezeAgent', 1_200],
+  ['cut', 1_500],
+  ['silent', 1_500],
+  ['answerLost', 1_500],
+  ['late', 1_500],
+  ['delayed', 1_500],
+  ['reborn', 10],
+  ['leaves', 3_500],
+  ['takeOut', 1_500],
+] as const;
+
 describe('dispatch under faults', () => {
   beforeEach(() => {
     jest.useFakeTimers({ now: 1_800_000_000_000 });
@@ -88,20 +104,7 @@
     },
   );
 
-  it.each([
-    ['killEntry', 800],
-    ['killAgent', 1_500],
-    ['freezeEntry', 1_200],
-    ['freezeAgent', 1_200],
-    ['cut', 1_500],
-    ['silent', 1_500],
-    ['answerLost', 1_500],
-    ['late', 1_500],
-    ['delayed', 1_500],
-    ['reborn', 10],
-    ['leaves', 3_500],
-    ['takeOut', 1_500],
-  ] as const)('keeps all guarantees under the fault %s', async (type, forMs) => {
+  it.each(FAULT_TIMES)('keeps all guarantees under the fault %s', async (type, forMs) => {
     const faults = [createFault(type, 500, forMs), createFault(type, 2_600, forMs, 1, 1)];
     const simulation = await runDispatchSchedule({
       seed: 7,
@@ -113,6 +116,26 @@
     expect(done.length).toBeGreaterThan(15);
   });
 
+  it.each(FAULT_TIMES)(
+    'keeps all guarantees while tasks wait at the agents under the fault %s',
+    async (type, forMs) => {
+      const simulation = await runDispatchSchedule({
+        seed: 8,
+        faults: [createFault(type, 500, forMs), createFault(type, 2_600, forMs, 1, 1)],
+        jobs: createSteadyJobs(90, 250).map((job, index) => ({
+          ...job,
+          atMs: index * 40,
+          tasks: 4,
+          sendsAgain: true,
+        })),
+        isQueueing: true,
+      });
+      expect(checkDispatchGuarantees(simulation)).toEqual([]);
+      // Without queued tasks nothing would have been shown.
+      expect(simulation.admissions.queued).toBeGreaterThan(20);
+    },
+  );
+
   it('admits tasks after an agent restart only within the capacity that earlier runs leave free', async () => {
     const simulation = DispatchSimulation.create(6, 2, 1);
     await jest.advanceTimersByTimeAsync(1_000);
--- a/packages/proofs/tests/support/dispatchSchedule.ts
+++ b/packages/proofs/tests/support/dispatchSchedule.ts
@@ -222,6 +222,7 @@
       fc.array(plannedJob, { maxLength: 25 }),
     )
     .map(([crashing, others]) => [...crashing, ...others]),
+  isQueueing: fc.boolean(),
 });
 
 /** Number of agents of the schedules in which few commands are late. */
@@ -271,6 +272,7 @@
     }),
     faults: fc.array(fault, { maxLength: 5 }),
     jobs: fc.array(jobBesideLateCommands, { minLength: 3, maxLength: 25 }),
+    isQueueing: fc.boolean(),
   });
 };
 
