--- a/marjorammast-app/src/dispatchEntry.ts
+++ b/marjorammast-app/src/dispatchEntry.ts
@@ -46,6 +46,7 @@
       meter: (answer) => forwarded.inc({ answer }),
     },
     placement: settings.placement,
+    queueing: settings.queueing,
   });
   metrics.gauge('marjorammast_open_jobs', 'Jobs without an answer', () => entry.openJobs);
   metrics.gauge('marjorammast_queued_jobs', 'Jobs that wait', () => entry.dispatcher.queuedJobs);
--- a/marjorammast-app/src/local/DispatchDeployment.ts
+++ b/marjorammast-app/src/local/DispatchDeployment.ts
@@ -185,6 +185,7 @@
       store: await this.resolvedAddressOf(name, 'store'),
       stopTimeoutMs: 5_000,
       ...this.options.entryFields(index),
+      queueing: { maxQueueMs: 200 },
     });
   }
 
--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -30,6 +30,7 @@
 import type { JobOutcome, JobRequest } from './job';
 import { PeerClient } from './PeerClient';
 import type { PlacementOptions } from './ScarcePlacement';
+import type { Queueing } from './placeWaitingTasks';
 
 /** Receives the measurements of an entry. `ms` is the time to answer a job, in milliseconds. */
 export type EntryMeter = { answered: (route: string, outcome: string, ms: number) => void };
@@ -47,6 +48,8 @@
   forwarding?: ForwardingOptions;
   /** How tasks are placed on workers of different speed; fast workers come first if absent. */
   placement?: PlacementOptions;
+  /** How tasks without room wait at agents; they do not if absent. */
+  queueing?: Queueing;
 };
 
 /** A job that a client submits to a route. */
@@ -140,6 +143,7 @@
       evacuatedDataCenters: () => this.rules.outDataCenters,
       crashRecords: this.crashes.records,
       confinement: this.crashes.confinement,
+      queueing: options.queueing,
       random: options.random,
       log: options.log,
       placement: options.placement,
@@ -393,10 +397,10 @@
           findByLink(link)?.updateView(view);
           return {};
         },
-        ended: ({ runs, free }, link) => {
+        ended: ({ runs, free, ...queueNews }, link) => {
           const connection = findByLink(link);
           if (!connection) return {};
-          connection.updateFree(free);
+          connection.updateFree(free, queueNews);
           this.dispatcher.handleRunEnds(connection.name, runs);
           return {};
         },
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -1,6 +1,13 @@
 import { match } from 'ts-pattern';
-import { CallError } from '@marjorammast/protocol';
-import type { BoundTaskRows, Params, Route, RunEnd, UnsettledTasks } from '@marjorammast/protocol';
+import { CallError, countFitting } from '@marjorammast/protocol';
+import type {
+  BoundTaskRows,
+  Params,
+  Resources,
+  Route,
+  RunEnd,
+  UnsettledTasks,
+} from '@marjorammast/protocol';
 import type { Log } from '@marjorammast/telemetry';
 import type { ActiveJob } from './ActiveJob';
 import type { AgentConnection, Assignment, StartKnowledge } from './AgentConnection';
@@ -23,7 +30,9 @@
 import { OutstandingRuns } from './OutstandingRuns';
 import type { OutstandingRun } from './OutstandingRuns';
 import { placeTasks } from './placeTasks';
-import type { Placement } from './placeTasks';
+import type { Placement, PlacementGoal } from './placeTasks';
+import { placeWaitingTasks, queueFieldsOf } from './placeWaitingTasks';
+import type { Queueing } from './placeWaitingTasks';
 import { QueueEstimate, workOf } from './QueueEstimate';
 import type { RouteConfinement } from './RouteConfinement';
 import { ScarcePlacement } from './ScarcePlacement';
@@ -43,6 +52,8 @@
   crashRecords: CrashRecords;
   /** Routes that are confined to a part of the workers. */
   confinement: RouteConfinement;
+  /** How tasks without room wait at agents; they do not if absent. */
+  queueing?: Queueing;
   /** Uniform random numbers in [0, 1). */
   random: () => number;
   log: Log;
@@ -54,7 +65,13 @@
 type PassLoad = { placedWork: number; waitingWork: number; hasWorkers: boolean };
 
 /** What an agent is told of all tasks of an assignment. */
-type AssignmentTraits = Pick<Assignment, 'bestSlowness' | 'isSuspect' | 'hasFailedElsewhere'>;
+type AssignmentTraits = Pick<
+  Assignment,
+  'bestSlowness' | 'isSuspect' | 'hasFailedElsewhere' | 'priority' | 'objectiveInMs' | 'maxQueueMs'
+>;
+
+/** The time that tasks have that are to wait at agents. */
+type QueueGoal = Omit<PlacementGoal, 'count'>;
 
 const NO_AGENTS: readonly string[] = [];
 
@@ -173,6 +190,8 @@
       if (outstanding?.run !== run) return;
       if (end === 'done') this.recordRunTime(outstanding.job.route, agent, ms);
       this.runs.remove(agent, jobId, taskIndex);
+      // A task that was queued at the agent may have been started since.
+      if (end !== 'unqueued') outstanding.job.mayHaveRun = true;
       if (outstanding.job.isOpen && outstanding.job.isAssigned(taskIndex, agent, run)) {
         this.applyEnd(outstanding.job, taskIndex, agent, end);
       }
@@ -393,7 +412,6 @@
     this.refuseIfHopeless(job, rooms);
     if (!job.isOpen || !job.mayStart || this.hasEarlierRuns(job)) return;
     const { step, objectiveAt } = job;
-    const { crashRecords } = this.host;
     const waitingBefore = job.waitingTasks.length;
     const { bestSlowness } = rooms;
     const { name, service } = job.route;
@@ -405,13 +423,7 @@
     const hasFastWorkers = () => rooms.hasFastWorkersFor(step);
     const rule = this.scarcePlacement.ruleFor(service, hasFastWorkers, now);
     [RESERVED_TASKS, 0].forEach((reservedTasks) => {
-      const groups = groupWaitingTasks(job, {
-        isSuspect: (index) => crashRecords.isSuspect(job.id, index),
-        mustWait: (index) =>
-          crashRecords.mustWait(job.id, index) || this.agentsBoundTo(job.id, index).length > 1,
-        boundTo: (index) => this.agentsBoundTo(job.id, index)[0],
-      });
-      groups.forEach((group) => {
+      this.groupTasks(job).forEach((group) => {
         const count = group.indexes.length;
         const placements =
           group.boundTo === undefined
@@ -425,11 +437,36 @@
         this.assignGroup(job, group, placements, rooms);
       });
     });
+    this.queueAtAgents(job, rooms, goal);
     const waitingTasks = job.waitingTasks.length;
     load.placedWork += workOf(step, waitingBefore - waitingTasks);
     if (waitingTasks === 0) this.queue.delete(job);
   }
 
+  private groupTasks(job: ActiveJob): TaskGroup[] {
+    const { crashRecords } = this.host;
+    return groupWaitingTasks(job, {
+      isSuspect: (index) => crashRecords.isSuspect(job.id, index),
+      mustWait: (index) =>
+        crashRecords.mustWait(job.id, index) || this.agentsBoundTo(job.id, index).length > 1,
+      boundTo: (index) => this.agentsBoundTo(job.id, index)[0],
+    });
+  }
+
+  /** Has the tasks of a job that have room nowhere wait at agents. */
+  private queueAtAgents(job: ActiveJob, rooms: WorkerRooms, goal: QueueGoal): void {
+    const { queueing, random } = this.host;
+    if (!queueing || job.waitingTasks.length === 0) return;
+    this.groupTasks(job)
+      .filter(({ boundTo, isSuspect }) => boundTo === undefined && !isSuspect)
+      .forEach((group) => {
+        const queues = rooms.findQueues(job.step, group.avoidedAgents, job.route.priority);
+        const count = group.indexes.length;
+        const placements = placeWaitingTasks(queues, { ...goal, count }, queueing, random);
+        this.assignGroup(job, group, placements, rooms);
+      });
+  }
+
   private assignGroup(
     job: ActiveJob,
     { indexes, avoidedAgents, isSuspect }: TaskGroup,
@@ -441,6 +478,7 @@
       const end = assignedCount + placement.count;
       const hasFailedElsewhere = [...avoidedAgents].some((name) => name !== placement.agent);
       const traits = { bestSlowness: rooms.bestSlowness, isSuspect, hasFailedElsewhere };
+
       this.assign(job, placement, indexes.slice(assignedCount, end), traits);
       rooms.refresh(placement.agent);
       assignedCount = end;
@@ -500,7 +538,8 @@
     runs.forEach(([index, run]) =>
       this.runs.add(agent, { job, index, run, incarnation, assignedAt }),
     );
-    void this.sendAssignment(job, connection, runs, traits);
+    const queueFields = queueFieldsOf(job, this.host.queueing, assignedAt);
+    void this.sendAssignment(job, connection, runs, { ...traits, ...queueFields });
   }
 
   private async sendAssignment(
@@ -511,8 +550,14 @@
   ): Promise<void> {
     const { request, route, step } = job;
     const { name } = connection;
+    const queueTasks = this.countQueueRequests(connection, step.needs, runs.length);
+    if (queueTasks > 0) connection.queueRequests.send(queueTasks);
     try {
-      const { taken, reason } = await connection.assign({
+      const {
+        taken,
+        queued = [],
+        reason,
+      } = await connection.assign({
         job: request.id,
         occurrence: 0,
         step: 0,
@@ -527,7 +572,7 @@
         runs,
       });
       if (taken.length > 0) job.mayHaveRun = true;
-      const declined = runs.filter(([index]) => !taken.includes(index));
+      const declined = runs.filter(([index]) => !taken.includes(index) && !queued.includes(index));
       if (declined.length > 0) {
         this.host.log.info(
           { job: job.id, agent: name, declined: declined.length, reason },
@@ -537,13 +582,20 @@
         declined.forEach(([index, run]) => this.requeue(job, index, name, run));
       }
       // The job may have been removed while the assignment was under way. The runs that the agent has
-      // admitted are then abandoned now.
-      if (!job.isOpen && taken.length > 0) connection.abandon([job.id]);
+      // admitted or queued are then abandoned now.
+      if (!job.isOpen && taken.length + queued.length > 0) connection.abandon([job.id]);
     } catch (error) {
       this.handleAssignFailure(job, name, runs, error);
+    } finally {
+      if (queueTasks > 0) connection.queueRequests.settle(queueTasks);
     }
   }
 
+  /** Number of tasks of an assignment that do not fit as far as this entry knows. */
+  private countQueueRequests({ free }: AgentConnection, needs: Resources, tasks: number): number {
+    return this.host.queueing ? Math.max(0, tasks - countFitting(needs, free)) : 0;
+  }
+
   /**
    * Handles an assignment without an answer. After `notSent` the agent certainly received nothing,
    * and the tasks are queued again at once. After any other fault the runs may have started, and
@@ -575,6 +627,8 @@
     this.runs.removeDetached(outstanding);
     this.schedulePass();
     if (!job.isOpen || !job.isAssigned(index, agent, run)) return;
+    // Also a task that was queued there may have been started.
+    job.mayHaveRun = true;
     this.applyEnd(job, index, agent, 'lapsed');
   }
 
@@ -605,7 +659,7 @@
         this.host.log.info({ job: job.id, index, agent, run: task.run }, 'task_lapsed');
         this.requeueAfterEnd(job, index);
       })
-      .with('stopped', () => this.requeueAfterEnd(job, index))
+      .with('stopped', 'unqueued', () => this.requeueAfterEnd(job, index))
       .exhaustive();
   }
 
--- a/packages/dispatch/src/WorkerRooms.ts
+++ b/packages/dispatch/src/WorkerRooms.ts
@@ -1,9 +1,10 @@
-import { countFitting, fits } from '@marjorammast/protocol';
+import { countFitting, fits, scaleResources } from '@marjorammast/protocol';
 import type { Resources, WorkerView } from '@marjorammast/protocol';
 import type { AgentConnection } from './AgentConnection';
-import { EQUAL_SLOWNESS_FACTOR } from './constants';
+import { EQUAL_SLOWNESS_FACTOR, QUEUE_CAPACITY_SHARE } from './constants';
 import type { Step } from './job';
 import type { Candidate, Placement } from './placeTasks';
+import type { QueueCandidate } from './placeWaitingTasks';
 
 /** What placement needs to know of the entry and its data centres. */
 export type RoomFilter = {
@@ -171,6 +172,29 @@
     );
   }
 
+  /**
+   * Finds the agents at which tasks of a step may wait for room.
+   *
+   * @param step - the step
+   * @param avoidedAgents - agents that are not used
+   * @param priority - priority of the job's route
+   * @returns one candidate for each agent with a queue
+   */
+  findQueues(step: Step, avoidedAgents: ReadonlySet<string>, priority: number): QueueCandidate[] {
+    const now = performance.now();
+    const isChosen = this.choiceFor(step);
+    const isAvoided = (name: string) => avoidedAgents.has(name) || this.avoidedAgents.has(name);
+    return this.rooms.flatMap(({ connection: { name, queueRequests }, view }) => {
+      const { queueMs, state, slowness } = view;
+      const isUsable = isChosen(name) && !isAvoided(name) && state === 'open';
+      if (queueMs === undefined || !isUsable || !canRun(step, view)) return [];
+      const queueShare = scaleResources(view.capacity, QUEUE_CAPACITY_SHARE);
+      const limit = Math.max(1, countFitting(step.needs, queueShare));
+      const queueTasks = queueRequests.openTasks(limit, priority, now);
+      return queueTasks > 0 ? [{ agent: name, slowness, queueMs, queueTasks }] : [];
+    });
+  }
+
   /**
    * Places tasks that are bound to one agent. Neither the speed of its worker nor the confinement of the route
    * matters, since there is no other.
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -181,3 +181,8 @@
  * report, so that one report does not attract more jobs than fit.
  */
 export const JOB_COST_MS = 4;
+/** Part of a worker's capacity that the tasks waiting at its agent may need together. */
+export const QUEUE_CAPACITY_SHARE = 1 / 4;
+
+/** Time for which the queue of an agent counts as full after the agent has told so, in milliseconds. */
+export const FULL_QUEUE_RETENTION_MS = 120;
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -3,3 +3,4 @@
 export * from './findRoute';
 export * from './job';
 export * from './placeTasks';
+export type { Queueing } from './placeWaitingTasks';
--- a/packages/proofs/tests/support/DispatchSimulation.ts
+++ b/packages/proofs/tests/support/DispatchSimulation.ts
@@ -1,7 +1,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { DispatchEntry } from '@marjorammast/dispatch';
-import type { DispatchEntryOptions, JobOutcome } from '@marjorammast/dispatch';
+import type { DispatchEntryOptions, JobOutcome, Queueing } from '@marjorammast/dispatch';
 import { GateAgent } from '@marjorammast/gate';
 import type { WorkerIdentity, WorkerReport } from '@marjorammast/gate';
 import { sleep } from '@marjorammast/protocol';
@@ -112,6 +112,9 @@
     routes: ['claims', 'lookups'].map(createRoute),
   };
 
+  /** What all agents have answered for tasks, and what they have given back. */
+  readonly admissions = { taken: 0, declined: 0, queued: 0, unqueued: 0 };
+
   /** Number of clients that have not finished. */
   waitingClients = 0;
 
@@ -123,6 +126,7 @@
     agentCount: number,
     cpu: number,
     private readonly utilizations: readonly number[] | undefined,
+    private readonly queueing?: Queueing,
   ) {
     this.random = createRandom(seed);
     this.network = Network.create(this.random);
@@ -150,6 +154,7 @@
    * @param agentCount - number of agents, each with one worker
    * @param cpu - CPU capacity of each worker, in thousandths of a core
    * @param utilizations - utilization of each entry, which forward jobs then; they do not if absent
+   * @param queueing - how tasks wait at agents; they do not if absent
    * @returns the running simulation
    */
   static create(
@@ -158,8 +163,9 @@
     agentCount: number,
     cpu = 3_000,
     utilizations?: readonly number[],
+    queueing?: Queueing,
   ): DispatchSimulation {
-    return new DispatchSimulation(seed, entryCount, agentCount, cpu, utilizations);
+    return new DispatchSimulation(seed, entryCount, agentCount, cpu, utilizations, queueing);
   }
 
   /** Halts all entries and agents. */
@@ -230,6 +236,7 @@
       log: this.log,
       meter: { answered: () => undefined },
       forwarding: this.createForwarding(index),
+      queueing: this.queueing,
     });
     this.network.listen(name, node.server);
     node.updatePeers(
@@ -294,11 +301,20 @@
       clock: () => performance.now(),
       log: this.log,
       meter: {
-        assigned: () => undefined,
+        assigned: (taken: number, declined: number) => {
+          this.admissions.taken += taken;
+          this.admissions.declined += declined;
+        },
         ended: () => undefined,
         endContradicted: () => undefined,
         startedLate: () => undefined,
         crashed: () => undefined,
+        queued: (tasks: number) => {
+          this.admissions.queued += tasks;
+        },
+        unqueued: () => {
+          this.admissions.unqueued += 1;
+        },
       },
     };
     const node = runInProcess(timers, () => GateAgent.create(options));
--- a/packages/proofs/tests/support/dispatchSchedule.ts
+++ b/packages/proofs/tests/support/dispatchSchedule.ts
@@ -116,6 +116,8 @@
   countsLateLeasesFromArrival?: boolean;
   /** Utilization of each entry, which forward jobs then; they do not if absent. */
   utilizations?: readonly number[];
+  /** True when tasks without room wait at the agents. */
+  isQueueing?: boolean;
 };
 
 const ENTRIES = 2;
@@ -135,6 +137,9 @@
 /** Time by which the start in an odd report lies in the future, in milliseconds. */
 const ODD_BIRTH_OFFSET_MS = 86_400_000;
 
+/** Longest wait of a task at an agent, in milliseconds. */
+const MAX_QUEUE_MS = 200;
+
 /** Step by which the fake time advances, in milliseconds. */
 const STEP_MS = 10;
 
@@ -176,6 +181,7 @@
   seed: fc.integer({ min: 1, max: 1_000_000 }),
   faults: fc.array(plannedFault, { maxLength: 6 }),
   jobs: fc.array(plannedJob, { minLength: 3, maxLength: 40 }),
+  isQueueing: fc.boolean(),
 });
 
 const faultBesideForwarding: fc.Arbitrary<PlannedDispatchFault> = fc.record({
@@ -204,6 +210,7 @@
 /** Generates schedules in which one or two of three entries forward most of their jobs. */
 export const forwardingScheduleArbitrary: fc.Arbitrary<DispatchSchedule> = fc.record({
   seed: fc.integer({ min: 1, max: 1_000_000 }),
+  isQueueing: fc.boolean(),
   utilizations: fc.constantFrom([1, 0.1, 0.1], [1, 0.1, 0.3], [1, 1, 0.1], [0.1, 1, 0.1]),
   hasSocketBuffers: fc.boolean(),
   faults: fc.array(faultBesideForwarding, { maxLength: 6 }),
@@ -261,6 +268,7 @@
       fc.array(plannedJob, { maxLength: 25 }),
     )
     .map(([crashing, others]) => [...crashing, ...others]),
+  isQueueing: fc.boolean(),
 });
 
 /** Number of agents of the schedules in which few commands are late. */
@@ -310,6 +318,7 @@
     }),
     faults: fc.array(fault, { maxLength: 5 }),
     jobs: fc.array(jobBesideLateCommands, { minLength: 3, maxLength: 25 }),
+    isQueueing: fc.boolean(),
   });
 };
 
@@ -422,16 +431,17 @@
   schedule: DispatchSchedule,
   agentCount = AGENTS,
 ): Promise<DispatchSimulation> => {
-  const { utilizations } = schedule;
-  const entryCount = utilizations?.length ?? ENTRIES;
+  const { seed, utilizations } = schedule;
+  const { hasSocketBuffers = false, countsLateLeasesFromArrival = false } = schedule;
+  const queueing = schedule.isQueueing ? { maxQueueMs: MAX_QUEUE_MS } : undefined;
   const simulation = DispatchSimulation.create(
-    schedule.seed,
-    entryCount,
+    seed,
+    utilizations?.length ?? ENTRIES,
     agentCount,
     undefined,
     utilizations,
+    queueing,
   );
-  const { hasSocketBuffers = false, countsLateLeasesFromArrival = false } = schedule;
   simulation.network.hasSocketBuffers = hasSocketBuffers;
   simulation.workers.forEach((worker) => Object.assign(worker, { countsLateLeasesFromArrival }));
   await jest.advanceTimersByTimeAsync(1_000);
--- a/packages/protocol/src/dispatchMessages.ts
+++ b/packages/protocol/src/dispatchMessages.ts
@@ -10,6 +10,14 @@
   accelerators: z.number().nonnegative(),
 });
 
+/** What an agent tells of its queue. Absent while no entry has asked to queue tasks, and from agents without one. */
+const queueFields = {
+  /** Estimated time until a task that is queued at the agent now would start, in milliseconds. */
+  queueMs: z.number().nonnegative().optional(),
+  /** Tasks of routes with this priority and less urgent ones find no place; absent: there is place for all. */
+  queueFullFor: z.number().optional(),
+};
+
 /** State of a worker, which its agent sends to the entries. */
 export const workerViewSchema = z.object({
   service: z.string(),
@@ -28,6 +36,7 @@
   slowness: z.number().positive(),
   /** Identifies the incarnation of the worker; empty without a worker. */
   incarnation: z.string().default(''),
+  ...queueFields,
 });
 
 /**
@@ -52,9 +61,17 @@
 /**
  * How a run ended. `notRun`: the run never started. `lapsed`: its lease expired or its worker was
  * replaced; it may have run in part but is no longer active. `stalled`: the agent stopped it for
- * lack of progress.
+ * lack of progress. `unqueued`: it waited at the agent and was never sent to the worker.
  */
-export const runEndSchema = z.enum(['done', 'failed', 'stopped', 'stalled', 'lapsed', 'notRun']);
+export const runEndSchema = z.enum([
+  'done',
+  'failed',
+  'stopped',
+  'stalled',
+  'lapsed',
+  'notRun',
+  'unqueued',
+]);
 
 /** Crash of one incarnation of a worker, or its silence, which may be a crash. */
 export const workerCrashSchema = z.object({
@@ -184,12 +201,21 @@
       echo: z.number(),
       /** Time since the entry received `echo`, in milliseconds. */
       heldMs: z.number(),
+      /** Priority of the job's route; lower numbers start first among the tasks that wait at the agent. */
+      priority: z.number().optional(),
+      /** Time until the job's latency objective, in milliseconds; negative once it has passed. */
+      objectiveInMs: z.number().optional(),
+      /** Longest time for which a task may wait at the agent, in milliseconds; absent or 0: none waits. */
+      maxQueueMs: z.number().nonnegative().optional(),
     }),
     result: z.object({
       /** Indexes of the admitted tasks. */
       taken: z.array(count),
+      /** Indexes of the tasks that wait at the agent until the worker has room for them. */
+      queued: z.array(count).optional(),
       /** Why the other tasks were declined. */
       reason: declineReasonSchema.optional(),
+      ...queueFields,
       free: resourcesSchema,
       clock: z.number(),
       /** Tasks of this entry's runs whose starts have no answer yet. */
@@ -216,6 +242,7 @@
       /** Tuples of job, task index, run number, end, and time since admission in milliseconds. */
       runs: z.array(z.tuple([z.string(), count, count, runEndSchema, z.number()])),
       free: resourcesSchema,
+      ...queueFields,
     }),
     result: z.object({}),
   },
--- a/packages/settings/src/daemonSettings.ts
+++ b/packages/settings/src/daemonSettings.ts
@@ -110,6 +110,17 @@
     })
     .optional()
     .describe('Placement of tasks on workers of different speed; without it fast ones come first.'),
+  queueing: z
+    .strictObject({
+      maxQueueMs: z
+        .number()
+        .int()
+        .positive()
+        .max(200)
+        .describe('Longest time for which a task without room waits at an agent, in milliseconds.'),
+    })
+    .optional()
+    .describe('How tasks without room wait at agents; absent: they wait at the entry.'),
 });
 
 /** Settings of the agent of the dispatch design, which controls admission to one worker. */
