Fix: a held second copy is not refused; forwarding measured

Cause: a copy of a job whose runs may be active at a receiver could be refused as not run.

Change: such a copy counts as committed. The utilization is a metric only with forwarding.

--- a/marjorammast-app/src/dispatchEntry.ts
+++ b/marjorammast-app/src/dispatchEntry.ts
@@ -51,9 +51,10 @@
   metrics.gauge('marjorammast_runs', 'Runs not ended', () => entry.dispatcher.outstandingRuns);
   metrics.gauge('marjorammast_agents', 'Agents attached', () => entry.attachedAgents);
   metrics.gauge('marjorammast_open_workers', 'Workers that take work', () => entry.openWorkers);
-  metrics.gauge('marjorammast_utilization', 'Processor time in use, 0 to 1', () =>
-    entry.utilization === undefined ? NaN : entry.utilization,
-  );
+  if (forwarding) {
+    const readUtilization = () => entry.utilization ?? 0;
+    metrics.gauge('marjorammast_utilization', 'Processor time in use, 0 to 1', readUtilization);
+  }
   const platformStore = createPlatformStore(store, log);
   const decodeOperatorState = createOperatorStateDecoder(log);
   const decodeRegistrations = createRegistrationDecoder((key) =>
--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -491,6 +491,8 @@
     const active = { job, waiters: 0, isOwn: false, answer: this.endJob(job, remainingMs) };
     this.jobs.set(request.id, active);
     job.notBefore = this.forwarding?.sender.earlierRunsUntil(job.id) ?? 0;
+    // While runs of an earlier copy may be active at another entry, a refusal as not run would be false.
+    job.mayHaveRun = job.notBefore > performance.now();
     if (mayStart || !this.tryForward(job)) this.run(job);
     return active;
   }
