Tests: a paused receiver between real processes; templates of the settings

Cause: only the simulation covered the pause of a receiver, and nothing checked that the templates give valid settings.

Change: a test stops the receiver's process with SIGSTOP while it runs a forwarded job; tests fill in deploy/*.jsonc.

--- a/marjorammast-app/tests/forwarding.test.ts
+++ b/marjorammast-app/tests/forwarding.test.ts
@@ -31,6 +31,10 @@
   const logOf = (index: number): string =>
     readFileSync(join(deployment.logFolder, `entry-${index}.log`), 'utf8');
 
+  /** Waits for a line of a log, which is written some time after the event. */
+  const waitForLine = (index: number, text: string): Promise<void> =>
+    deployment.waitUntil(text, async () => logOf(index).includes(text));
+
   beforeAll(async () => {
     deployment = await DispatchDeployment.create(2, 2, undefined, createFields);
   });
@@ -43,23 +47,48 @@
       expect((await submit()).status).toBe(200);
       return (await countEnded()) > 0;
     });
-    expect(logOf(0)).toContain('event=job_forwarded');
+    await waitForLine(0, 'event=job_forwarded');
   });
 
-  // Guards against runs that nobody wants after the sender has died.
-  it('stops the runs of an entry that is killed', async () => {
-    const isForwardedRunning = () => {
+  /** Submits long jobs until one is forwarded. Returns its answer; the last job is the forwarded one. */
+  const forwardLong = async (): Promise<{ answer: Promise<ClientAnswer | undefined> }> => {
+    let answer: Promise<ClientAnswer | undefined> = Promise.resolve(undefined);
+    await deployment.waitUntil('a long job forwarded', async () => {
+      answer = submit(3_000).catch(() => undefined);
+      await sleep(60);
       const [last] = logOf(0)
         .split('\n')
         .reverse()
         .filter((line) => line.includes('job='));
       return last?.includes('event=job_forwarded') ?? false;
-    };
-    await deployment.waitUntil('a long job forwarded', async () => {
-      void submit(3_000).catch(() => undefined);
-      await sleep(60);
-      return isForwardedRunning();
     });
+    return { answer };
+  };
+
+  const countActiveRuns = (id: string): number =>
+    deployment.workers
+      .flatMap(({ events }) => events)
+      .filter(({ task }) => task.startsWith(id))
+      .reduce((sum, { type }) => sum + (type === 'start' ? 1 : -1), 0);
+
+  // Guards against a job without an answer, and against runs of a job that its sender has given up.
+  it('answers 504 when the receiver is paused, whose runs end', async () => {
+    const { answer } = await forwardLong();
+    const id = idOf(nextId);
+    expect(countActiveRuns(id)).toBe(2);
+    const receiver = deployment.entries[1]?.process;
+    receiver?.kill('SIGSTOP');
+    expect((await answer)?.status).toBe(504);
+    await sleep(100);
+    receiver?.kill('SIGCONT');
+    await sleep(500);
+    expect(countActiveRuns(id)).toBe(0);
+    await waitForLine(0, 'event=forward_lost');
+  });
+
+  // Guards against runs that nobody wants after the sender has died.
+  it('stops the runs of an entry that is killed', async () => {
+    await forwardLong();
     deployment.entries[0]?.process.kill('SIGKILL');
     await sleep(600);
     const active = new Map<string, number>();
@@ -69,6 +98,6 @@
         active.set(task, (active.get(task) ?? 0) + (type === 'start' ? 1 : -1)),
       );
     expect([...active.values()].filter((count) => count > 0)).toEqual([]);
-    expect(logOf(1)).toContain('event=sender_lost');
+    await waitForLine(1, 'event=sender_lost');
   });
 });
--- /dev/null
+++ b/packages/settings/tests/deployTemplates.test.ts
@@ -0,0 +1,46 @@
+import { readFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { checkDocument } from '../src';
+import { dispatchSettingsSchema, gateSettingsSchema } from '../src/daemonSettings';
+
+const VALUES: Record<string, unknown> = {
+  node_name: 'edge-1',
+  zone: 'one',
+  ip: '127.0.0.1',
+  app: '127.0.0.1:7000',
+  'internal_ports.0': 7001,
+  'listen_addrs.frontend': '127.0.0.1:7002',
+  'listen_addrs.readiness': '127.0.0.1:7003',
+  'listen_addrs.control': '127.0.0.1:7004',
+  'platform.address': '127.0.0.1:7005',
+  'limits.cpu_share': 0.324,
+  'limits.cores': 1,
+};
+
+/** Fills in a template as the platform does. */
+const fill = (file: string): string =>
+  readFileSync(join(__dirname, '../../../deploy', file), 'utf8').replace(
+    /\{\{([^|}]+)(\|json)?\}\}/g,
+    (_, name: string, json?: string) =>
+      json ? JSON.stringify(VALUES[name]) : String(VALUES[name]),
+  );
+
+describe('templates of the settings', () => {
+  // Guards against a process that ends at its start since its settings are refused.
+  it.each([
+    ['entry.jsonc', (text: string) => checkDocument('entry', text, dispatchSettingsSchema)],
+    ['agent.jsonc', (text: string) => checkDocument('agent', text, gateSettingsSchema)],
+  ] as const)('%s gives settings without mistakes', (file, check) => {
+    expect(check(fill(file))).toMatchObject({ type: 'valid', value: { name: 'edge-1' } });
+  });
+
+  it('entry.jsonc switches forwarding on and passes the granted processor time', () => {
+    const result = checkDocument('entry.jsonc', fill('entry.jsonc'), dispatchSettingsSchema);
+    expect(result).toMatchObject({
+      value: {
+        processorCores: { share: 0.324, cores: 1 },
+        forwarding: { highUtilization: 0.7, lowUtilization: 0.5, maxPeers: 4 },
+      },
+    });
+  });
+});
