Bounds on partial lines and connections of the RPC port

Cause: any connection could hold 4 MiB of a line without its end, in any number, and split2 goes through the whole partial line again with each chunk.

Change: LineAssembler holds a partial line in pages of a budget and passes whole lines on. A connection without a valid call may hold 256 KiB and has a budget of its own, so that it takes nothing from real peers. The number of connections is bounded; the oldest one without a valid call is closed first. Connections whose other end reads nothing for 5 s are closed.

--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -5,6 +5,7 @@
 export * from './dispatchMessages';
 export * from './environment';
 export * from './resources';
+export * from './InboundConnections';
 export * from './job';
 export * from './Link';
 export * from './registration';
--- a/packages/protocol/src/tcp.ts
+++ b/packages/protocol/src/tcp.ts
@@ -1,7 +1,12 @@
 import { connect, createServer } from 'node:net';
 import type { Server, Socket } from 'node:net';
+import { BodyBudget, deriveLimits } from '@marjorammast/http';
 import split2 from 'split2';
 import { CALL_TIMEOUT_MS, MAX_MESSAGE_BYTES } from './constants';
+import { InboundConnections, isValidCall } from './InboundConnections';
+import type { InboundLimits } from './InboundConnections';
+import { LineAssembler } from './LineAssembler';
+import type { LineBounds } from './LineAssembler';
 import { CallError, Link } from './Link';
 import type { CallServer } from './Link';
 
@@ -14,6 +19,8 @@
 /** Idle time after which the kernel sends TCP keep-alive probes, in milliseconds. */
 const KEEP_ALIVE_MS = 15_000;
 
+const DIALED_BOUNDS = { maxBytes: MAX_MESSAGE_BYTES, budget: BodyBudget.create(Infinity) };
+
 /** Counters of the traffic between processes. */
 export type TrafficCounters = { sentBytes: number; receivedBytes: number; messages: number };
 
@@ -36,11 +43,57 @@
   return message;
 };
 
+/** What depends on who has opened a connection. */
+type LineHandling = {
+  /** Returns the bounds of the line that begins. */
+  bounds: () => LineBounds;
+  /** Called with each message, before it is handled. */
+  onMessage: (message: unknown) => void;
+  /** Called when a line exceeds its bounds. */
+  onOverflow: (reason: 'lineTooLong' | 'noMemory') => void;
+};
+
+/** The processes that this one calls are known from the store. */
+const DIALED: LineHandling = {
+  bounds: () => DIALED_BOUNDS,
+  onMessage: () => undefined,
+  onOverflow: () => undefined,
+};
+
+/** Passes the messages of a connection to its link. */
+const receiveMessages = (socket: Socket, link: Link, handling: LineHandling): void => {
+  const fail = (error: unknown) => {
+    link.reportFault(error);
+    link.close();
+  };
+  const lines = split2(parseLine);
+  const assembler = LineAssembler.create(
+    handling.bounds,
+    (text) => lines.write(text),
+    (reason) => {
+      fail(new Error(reason));
+      handling.onOverflow(reason);
+    },
+  );
+  lines.on('data', (message) => {
+    handling.onMessage(message);
+    link.receive(message);
+  });
+  lines.on('error', fail);
+  socket.on('data', (chunk: Buffer) => assembler.add(chunk));
+  socket.on('end', () => {
+    assembler.end();
+    lines.end();
+  });
+  socket.on('close', () => assembler.close());
+};
+
 const createLink = (
   name: string,
   socket: Socket,
   server: CallServer,
   traffic: TrafficCounters,
+  handling: LineHandling,
 ): Link => {
   const link = Link.create(
     name,
@@ -64,12 +117,7 @@
   socket.on('data', (chunk: Buffer) => {
     traffic.receivedBytes += chunk.length;
   });
-  const lines = socket.pipe(split2(parseLine, { maxLength: MAX_MESSAGE_BYTES }));
-  lines.on('data', (message) => link.receive(message));
-  lines.on('error', (error) => {
-    link.reportFault(error);
-    link.close();
-  });
+  receiveMessages(socket, link, handling);
   // What is lost with the connection is reported by the calls on the link.
   socket.on('error', () => link.close());
   socket.on('close', () => link.close());
@@ -97,7 +145,7 @@
     socket.once('connect', () => {
       socket.removeListener('error', reject);
       socket.setTimeout(0);
-      resolve(createLink(address, socket, server, traffic));
+      resolve(createLink(address, socket, server, traffic, DIALED));
     });
   });
 
@@ -107,18 +155,29 @@
  * @param address - host and port to listen on
  * @param calls - handles the calls on the links
  * @param traffic - counters to update
+ * @param limits - bounds of the connections
  * @returns the listening server
  */
 export const listen = (
   address: string,
   calls: CallServer,
   traffic: TrafficCounters,
+  limits: InboundLimits = { ...deriveLimits().peers, onRejected: () => undefined },
 ): Promise<Server> =>
   new Promise((resolve, reject) => {
+    const connections = InboundConnections.create(limits);
     const server = createServer((socket) => {
-      const name = `${socket.remoteAddress}:${socket.remotePort}`;
-      createLink(name, socket, calls, traffic);
+      const connection = connections.add(socket);
+      if (!connection) return;
+      createLink(`${socket.remoteAddress}:${socket.remotePort}`, socket, calls, traffic, {
+        bounds: () => connections.lineBounds(connection),
+        onMessage: (message) => {
+          connection.isKnown ||= isValidCall(message);
+        },
+        onOverflow: (reason) => connections.reject(connection, reason),
+      });
     });
+    server.once('close', connections.startInspections());
     server.once('error', reject);
     server.listen(parseAddress(address), () => resolve(server));
   });
