Entry and agent use the bounds on clients; settings limits, memoryMb, maxDescriptors

Change: all HTTP ports of both daemons and their RPC ports are bounded; the limits follow from memory and descriptors of the VM.

--- a/marjorammast-app/src/dispatchEntry.ts
+++ b/marjorammast-app/src/dispatchEntry.ts
@@ -11,6 +11,7 @@
 import { createPrometheusMetrics } from '@marjorammast/telemetry';
 import { createDaemonLog } from './createDaemonLog';
 import { guardProcess, runDaemon } from './guardProcess';
+import { protectPorts } from './protectPorts';
 import { serveHttp } from './serveHttp';
 import { serveMetrics } from './serveMetrics';
 import { loadSettings, stopOnSignal } from './settings';
@@ -25,6 +26,7 @@
   const log = createDaemonLog(name, logLevel);
   guardProcess(log, process);
   const metrics = createPrometheusMetrics();
+  const ports = protectPorts(settings, log, metrics);
   const answerTimes = metrics.histogram('marjorammast_job_ms', 'Time to answer a job', [
     'route',
     'outcome',
@@ -66,10 +68,12 @@
   metrics.gauge('marjorammast_store_answer_age_ms', 'Time since the last answer of the store', () =>
     Math.round(mirror.answerAgeMs),
   );
-  await serveHttp(createReadinessHttp(entry), readiness);
-  const clientServer = await serveHttp(createClientHttp(entry, log), clients);
-  await serveMetrics(metrics, settings.metrics);
-  const rpcServer = await listen(rpc, entry.server, traffic);
+  await serveHttp(createReadinessHttp(entry), readiness, ports.side('readiness'));
+  const clientPort = ports.main('clients');
+  const clientApp = createClientHttp(entry, log, clientPort);
+  const clientServer = await serveHttp(clientApp, clients, clientPort);
+  await serveMetrics(metrics, settings.metrics, ports.side('metrics'));
+  const rpcServer = await listen(rpc, entry.server, traffic, ports.peers);
   const address = settings.advertisedRpc ?? rpc;
   void registerProcess(platformStore, 'entries', { name, address, dataCenter }, log);
   log.info({ clients, dataCenter, pid: process.pid }, 'started');
--- a/marjorammast-app/src/gateAgent.ts
+++ b/marjorammast-app/src/gateAgent.ts
@@ -6,6 +6,7 @@
 import { createPrometheusMetrics } from '@marjorammast/telemetry';
 import { createDaemonLog } from './createDaemonLog';
 import { guardProcess, runDaemon } from './guardProcess';
+import { protectPorts } from './protectPorts';
 import { serveMetrics } from './serveMetrics';
 import { loadSettings, parseAddress, stopOnSignal } from './settings';
 
@@ -16,6 +17,7 @@
   const log = createDaemonLog(name, logLevel);
   guardProcess(log, process);
   const metrics = createPrometheusMetrics();
+  const ports = protectPorts(settings, log, metrics);
   const runTimes = metrics.histogram('marjorammast_run_ms', 'Time of a run', ['how']);
   const assignments = metrics.counter('marjorammast_assigned', 'Runs by answer', ['answer']);
   const ends = metrics.counter('marjorammast_run_ends', 'Runs by what showed their end', ['sign']);
@@ -55,10 +57,10 @@
     },
   });
   const traffic = { sentBytes: 0, receivedBytes: 0, messages: 0 };
-  const rpcServer = await listen(rpc, agent.server, traffic);
+  const rpcServer = await listen(rpc, agent.server, traffic, ports.peers);
   const { host, port } = parseAddress(workerReports);
-  await serveWorkerApi(agent, host, port, log);
-  await serveMetrics(metrics, settings.metrics);
+  await serveWorkerApi(agent, host, port, log, ports.main('workerReports'));
+  await serveMetrics(metrics, settings.metrics, ports.side('metrics'));
   log.info({ rpc, worker, dataCenter, pid: process.pid }, 'started');
   void registerProcess(
     createPlatformStore(settings.store, log),
--- a/marjorammast-app/src/serveMetrics.ts
+++ b/marjorammast-app/src/serveMetrics.ts
@@ -1,5 +1,6 @@
-import { createServer } from 'node:http';
 import type { Server } from 'node:http';
+import { createRequestServer } from '@marjorammast/http';
+import type { Protection } from '@marjorammast/http';
 import type { PrometheusMetrics } from '@marjorammast/telemetry';
 import { parseAddress } from './settings';
 
@@ -8,19 +9,24 @@
  *
  * @param metrics - metrics to serve
  * @param address - host and port to listen on
+ * @param protection - bounds of the requests
  * @returns the server when it listens
  */
-export const serveMetrics = (metrics: PrometheusMetrics, address: string): Promise<Server> =>
+export const serveMetrics = (
+  metrics: PrometheusMetrics,
+  address: string,
+  protection: Protection,
+): Promise<Server> =>
   new Promise((resolve, reject) => {
     const { host, port } = parseAddress(address);
-    const server = createServer((request, response) => {
+    const server = createRequestServer((request, response) => {
       request.resume();
       metrics.render().then(
         (text) =>
           response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text),
         (error: Error) => response.writeHead(500).end(error.message),
       );
-    });
+    }, protection);
     server.once('error', reject);
     server.listen(port, host, () => resolve(server));
   });
--- a/packages/settings/src/daemonSettings.ts
+++ b/packages/settings/src/daemonSettings.ts
@@ -44,6 +44,31 @@
 /** Inferred from {@link agentSettingsSchema}. */
 export type AgentSettings = z.infer<typeof agentSettingsSchema>;
 
+const positive = z.number().int().positive();
+
+/** Head timeout that operators publish to clients, in milliseconds. */
+const PUBLISHED_HEADER_TIMEOUT_MS = 3_000;
+
+/** Bounds of what clients can make a process hold. What is absent has a default. */
+const limitSettings = z.strictObject({
+  maxBodyBytes: positive.optional().describe('Maximum size of a request body, in bytes.'),
+  maxHeaderBytes: positive.optional().describe('Maximum size of a request head, in bytes.'),
+  headerTimeoutMs: positive
+    .min(PUBLISHED_HEADER_TIMEOUT_MS)
+    .optional()
+    .describe('Timeout of a request head, in milliseconds.'),
+  bodyTimeoutMs: positive
+    .optional()
+    .describe('Timeout of a body of which no further byte arrives, in milliseconds.'),
+  bodyMemoryBytes: positive
+    .optional()
+    .describe('Memory for all incomplete bodies of the process, in bytes.'),
+  maxConnections: positive.optional().describe('Maximum number of connections of clients.'),
+  maxConnectionsPerAddress: positive
+    .optional()
+    .describe('Maximum number of connections of one client address.'),
+});
+
 /** Settings of both daemons of the dispatch design. */
 const dispatchDaemonSettings = {
   name: commonSettings.name,
@@ -56,6 +81,9 @@
   metrics: address.describe('Address of the metrics endpoint, in the Prometheus text format.'),
   store: address.describe("Address of the platform's store."),
   stopTimeoutMs: commonSettings.stopTimeoutMs,
+  limits: limitSettings.optional().describe('Bounds of what clients can make the process hold.'),
+  memoryMb: z.number().positive().optional().describe('Memory of the VM, in MB.'),
+  maxDescriptors: positive.optional().describe('File descriptors that the process may open.'),
 };
 
 /** Settings of the entry of the dispatch design, which sends tasks to the agents of workers. */
