Bodies in tiny chunks are refused in a crowd; unread messages are bounded between inspections

Cause: a trial with 1,000 bodies in chunks of one byte let an ordinary request wait 40 s for its answer, since node:http takes about 2 us for each chunk. In a trial with 200 RPC connections that read no answers, the entry grew by 64 MB within a period of inspections.

Change: beside 32 incomplete bodies, one whose chunks are below 16 bytes on average is refused with 503 after 1,024 chunks. A write to a connection with 64 kB waiting inspects all connections, every 20 ms at most.

--- a/packages/http/src/readBody.ts
+++ b/packages/http/src/readBody.ts
@@ -2,12 +2,24 @@
 import type { BodyBudget } from './BodyBudget';
 import { PagedBuffer } from './PagedBuffer';
 
+/** Incomplete bodies at one time from which they count as a crowd. */
+const CROWD = 32;
+
+/** Chunks after which the mean size of the chunks of a body counts. */
+const SAMPLED_CHUNKS = 1_024;
+
+/**
+ * Mean size of a chunk below which a body is refused in a crowd, in bytes. A chunk takes 2 us of processor
+ * time whatever its size: a read of 64 kB with chunks of one byte takes 20 ms, in which all others wait.
+ */
+const MIN_CHUNK_BYTES = 16;
+
 /** What became of a body. */
 export type BodyResult =
   | { type: 'body'; text: string }
   /** It is longer than permitted. The rest was not read. */
   | { type: 'tooLarge' }
-  /** The budget of the process is spent. The rest was not read. */
+  /** The budget of the process is spent, or it is short of time for the chunks. The rest was not read. */
   | { type: 'noMemory' }
   /** The connection ended before the body did. */
   | { type: 'broken' };
@@ -32,8 +44,15 @@
     const { maxBytes, budget } = bounds;
     let finish: (result: BodyResult) => void = resolve;
     const buffer = PagedBuffer.create(budget, () => finish({ type: 'noMemory' }));
+    let chunks = 0;
+    const isWasteful = () =>
+      chunks >= SAMPLED_CHUNKS &&
+      buffer.length < chunks * MIN_CHUNK_BYTES &&
+      budget.holders >= CROWD;
     const onData = (chunk: Buffer) => {
-      if (buffer.length + chunk.length > maxBytes) finish({ type: 'tooLarge' });
+      chunks += 1;
+      if (isWasteful()) finish({ type: 'noMemory' });
+      else if (buffer.length + chunk.length > maxBytes) finish({ type: 'tooLarge' });
       else if (!buffer.append(chunk)) finish({ type: 'noMemory' });
     };
     const onEnd = () => finish({ type: 'body', text: buffer.toText() });
--- a/packages/http/tests/readBody.test.ts
+++ b/packages/http/tests/readBody.test.ts
@@ -99,6 +99,17 @@
     expect((await read(chunks, 'stops')).heldBytes).toBe(2 * PAGE_BYTES);
   });
 
+  // Guards against ordinary requests that wait while the process goes through chunks of one byte.
+  it.each([
+    [31, 'broken'],
+    [32, 'noMemory'],
+  ])('beside %i other bodies, ends one in chunks of one byte as %s', async (others, type) => {
+    const budget = BodyBudget.create(1_000_000);
+    for (let count = 1; count < others; count += 1) budget.reserve({ evict: () => undefined }, 1);
+    const chunks = Array.from({ length: 2_000 }, () => Buffer.from('x'));
+    expect((await read(chunks, 'breaks', budget)).result.type).toBe(type);
+  });
+
   it('gives the same verdict for any split and any end', async () => {
     const end = fc.constantFrom<End>('whole', 'stops', 'breaks');
     await fc.assert(
--- a/packages/protocol/src/InboundConnections.ts
+++ b/packages/protocol/src/InboundConnections.ts
@@ -12,6 +12,12 @@
 /** Period in which the connections are inspected for unread messages, in milliseconds. */
 const INSPECTION_PERIOD_MS = 500;
 
+/** Bytes waiting on one connection from which all are inspected before the period has passed. */
+const MANY_UNSENT_BYTES = 64 * 1024;
+
+/** Minimum time between two inspections, in milliseconds. */
+const MIN_INSPECTION_PERIOD_MS = 20;
+
 /** Time after which a process that reads nothing is given up, in milliseconds. */
 const UNREAD_TIMEOUT_MS = 5_000;
 
@@ -54,6 +60,8 @@
 
   private readonly unknownBudget: BodyBudget;
 
+  private inspectedAt = performance.now();
+
   private constructor(private readonly limits: InboundLimits) {
     this.knownBudget = BodyBudget.create(limits.lineBytes);
     this.unknownBudget = BodyBudget.create(limits.unknownLineBytes);
@@ -108,13 +116,27 @@
     socket.destroy();
   }
 
+  /**
+   * Notes that a message was written. Messages for one that reads nothing may pile up within a period.
+   *
+   * @param connection - the connection
+   */
+  noteWrite({ socket }: InboundConnection): void {
+    if (socket.writableLength < MANY_UNSENT_BYTES) return;
+    if (performance.now() - this.inspectedAt >= MIN_INSPECTION_PERIOD_MS) this.inspect();
+  }
+
   /** Closes the connections whose other end does not read what is sent to it. */
   inspect(): void {
+    const now = performance.now();
+    // A pause of the process, before which the other end may have read, counts as two periods at most.
+    const elapsedMs = Math.min(now - this.inspectedAt, 2 * INSPECTION_PERIOD_MS);
+    this.inspectedAt = now;
     let total = 0;
     const behind = [...this.connections].filter((connection) => {
       const { writableLength } = connection.socket;
       const isStuck = writableLength > 0 && writableLength >= connection.unsentBytes;
-      connection.unsentMs = isStuck ? connection.unsentMs + INSPECTION_PERIOD_MS : 0;
+      connection.unsentMs = isStuck ? connection.unsentMs + elapsedMs : 0;
       connection.unsentBytes = writableLength;
       total += writableLength;
       return writableLength > 0;
--- a/packages/protocol/src/tcp.ts
+++ b/packages/protocol/src/tcp.ts
@@ -49,6 +49,8 @@
   bounds: () => LineBounds;
   /** Called with each message, before it is handled. */
   onMessage: (message: unknown) => void;
+  /** Called after each message that was written. */
+  onWrite: () => void;
   /** Called when a line exceeds its bounds. */
   onOverflow: (reason: 'lineTooLong' | 'noMemory') => void;
 };
@@ -57,6 +59,7 @@
 const DIALED: LineHandling = {
   bounds: () => DIALED_BOUNDS,
   onMessage: () => undefined,
+  onWrite: () => undefined,
   onOverflow: () => undefined,
 };
 
@@ -107,6 +110,7 @@
         traffic.messages += 1;
         batchWrites(socket);
         socket.write(line);
+        handling.onWrite();
       },
       close: () => socket.destroy(),
     },
@@ -174,6 +178,7 @@
         onMessage: (message) => {
           connection.isKnown ||= isValidCall(message);
         },
+        onWrite: () => connections.noteWrite(connection),
         onOverflow: (reason) => connections.reject(connection, reason),
       });
     });
--- a/packages/protocol/tests/inbound.test.ts
+++ b/packages/protocol/tests/inbound.test.ts
@@ -148,7 +148,7 @@
       (reason) => overflows.push(reason),
     );
     chunks.forEach((chunk) => assembler.add(chunk));
-    const {heldBytes} = budget;
+    const { heldBytes } = budget;
     assembler.end();
     return { text: Buffer.concat(texts).toString(), overflows, heldBytes, rest: budget.heldBytes };
   };
