Refused bodies are dropped instead of held in the stream; clients that break off are not counted as malformed

Cause: after an early verdict the stream kept what the parser still had, one object a chunk.

Change: what follows a verdict is dropped until the connection is closed.

--- a/packages/http/src/createRequestServer.ts
+++ b/packages/http/src/createRequestServer.ts
@@ -15,8 +15,8 @@
   ERR_HTTP_REQUEST_TIMEOUT: 'headTimeout',
 };
 
-/** Errors of a connection that say nothing about the request on it. */
-const CONNECTION_ERRORS = new Set(['ECONNRESET', 'EPIPE', 'ETIMEDOUT']);
+/** Errors of clients that have left, of which some broke off a request. There is nobody to answer. */
+const DISCONNECTIONS = new Set(['ECONNRESET', 'EPIPE', 'ETIMEDOUT', 'HPE_INVALID_EOF_STATE']);
 
 const hasBody = (request: IncomingMessage): boolean =>
   hasChunkedBody(request) || announcedLengthOf(request) > 0;
@@ -60,7 +60,7 @@
   server.on('connection', (socket: Socket) => table.add(socket));
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     const { code = '' } = error;
-    if (CONNECTION_ERRORS.has(code)) socket.destroy(error);
+    if (DISCONNECTIONS.has(code)) socket.destroy(error);
     else table.reject(socket as Socket, REASONS[code] ?? 'malformed');
   });
   const timer = setInterval(() => {
--- a/packages/http/src/readBody.ts
+++ b/packages/http/src/readBody.ts
@@ -35,7 +35,7 @@
 /**
  * Reads the body of a request. All bytes are released when it settles.
  *
- * @param request - the request; it is paused if its body is not read to the end
+ * @param request - the request; what follows is dropped if its body is not taken whole
  * @param bounds - bounds of the body
  * @returns the text of the body, or why there is none
  */
@@ -60,7 +60,8 @@
     finish = (result) => {
       finish = () => undefined;
       request.off('data', onData).off('end', onEnd).off('error', onBreak).off('close', onBreak);
-      if (result.type !== 'body') request.pause();
+      // What is still parsed must not be held, one object a chunk, until the connection is closed.
+      if (result.type !== 'body') request.resume();
       buffer.release();
       resolve(result);
     };
