--- a/packages/http/src/PagedBuffer.ts
+++ b/packages/http/src/PagedBuffer.ts
@@ -1,6 +1,12 @@
 import type { BodyBudget, BodyHolder } from './BodyBudget';
 import { PAGE_BYTES } from './PagePool';
 
+/**
+ * Largest chunk that is kept as it is although more may follow, in bytes. A larger one that is copied only
+ * later has outlived the young generation, and keeps its memory until all of the heap is collected.
+ */
+const MAX_KEPT_BYTES = PAGE_BYTES;
+
 /** A chunk that is a small part of a larger buffer would keep all of it in memory. */
 const ownsMemory = (chunk: Buffer): boolean => chunk.length === chunk.buffer.byteLength;
 
@@ -42,10 +48,12 @@
    * Adds a chunk.
    *
    * @param chunk - the bytes; the caller does not change them later
+   * @param isWhole - true if no more bytes are expected, so that a copy would be of no use
    * @returns false when the budget has no room; the buffer is empty then
    */
-  append(chunk: Buffer): boolean {
-    if (this.size === 0 && ownsMemory(chunk)) return this.keep(chunk);
+  append(chunk: Buffer, isWhole = false): boolean {
+    const mayKeep = isWhole || (chunk.length <= MAX_KEPT_BYTES && ownsMemory(chunk));
+    if (this.size === 0 && mayKeep) return this.keep(chunk);
     if (!this.grow(this.size + chunk.length)) {
       this.release();
       return false;
--- a/packages/http/src/readBody.ts
+++ b/packages/http/src/readBody.ts
@@ -1,3 +1,4 @@
+import type { IncomingMessage } from 'node:http';
 import type { Readable } from 'node:stream';
 import type { BodyBudget } from './BodyBudget';
 import { PagedBuffer } from './PagedBuffer';
@@ -24,6 +25,9 @@
   /** The connection ended before the body did. */
   | { type: 'broken' };
 
+/** The part of a request that is needed to read its body. */
+type BodySource = Readable & Partial<Pick<IncomingMessage, 'headers'>>;
+
 /** Bounds of one body. */
 export type BodyBounds = {
   /** Maximum size, in bytes. */
@@ -39,11 +43,12 @@
  * @param bounds - bounds of the body
  * @returns the text of the body, or why there is none
  */
-export const readBody = (request: Readable, bounds: BodyBounds): Promise<BodyResult> =>
+export const readBody = (request: BodySource, bounds: BodyBounds): Promise<BodyResult> =>
   new Promise((resolve) => {
     const { maxBytes, budget } = bounds;
     let finish: (result: BodyResult) => void = resolve;
     const buffer = PagedBuffer.create(budget, () => finish({ type: 'noMemory' }));
+    const announced = Number(request.headers?.['content-length']);
     let chunks = 0;
     const isWasteful = () =>
       chunks >= SAMPLED_CHUNKS &&
@@ -53,7 +58,7 @@
       chunks += 1;
       if (isWasteful()) finish({ type: 'noMemory' });
       else if (buffer.length + chunk.length > maxBytes) finish({ type: 'tooLarge' });
-      else if (!buffer.append(chunk)) finish({ type: 'noMemory' });
+      else if (!buffer.append(chunk, chunk.length === announced)) finish({ type: 'noMemory' });
     };
     const onEnd = () => finish({ type: 'body', text: buffer.toText() });
     const onBreak = () => finish({ type: 'broken' });
