--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -6,6 +6,7 @@
 export * from './environment';
 export * from './forwardMessages';
 export * from './resources';
+export * from './InboundConnections';
 export * from './job';
 export * from './Link';
 export * from './registration';
