--- a/marjorammast-app/src/soak/Soak.ts
+++ b/marjorammast-app/src/soak/Soak.ts
@@ -10,6 +10,14 @@
 import { SoakChecker } from './SoakChecker';
 import { SoakClients } from './SoakClients';
 
+/** Processor time that the first entry is told to have, in cores: so little that it forwards most of its jobs. */
+const WEAK_ENTRY_CORES = 0.02;
+
+const createForwardingSettings = (entry: number): object => ({
+  forwarding: { highUtilization: 0.7, lowUtilization: 0.5, maxPeers: 2 },
+  ...(entry === 0 ? { processorCores: { cores: WEAK_ENTRY_CORES } } : {}),
+});
+
 /** Parameters of a soak test. */
 export type SoakPlan = {
   /** Seed of the faults; the clients use `seed + 1`. */
@@ -123,6 +131,7 @@
     const { entries, workers } = this.plan;
     const deployment = await DispatchDeployment.create(entries, workers, {
       resolveAddress: (...path) => this.links.addProxy(...path),
+      entryFields: createForwardingSettings,
     });
     const injector = FaultInjector.create({
       deployment,
