--- a/marjorammast-app/src/gateAgent.ts
+++ b/marjorammast-app/src/gateAgent.ts
@@ -74,7 +74,7 @@
   const traffic = { sentBytes: 0, receivedBytes: 0, messages: 0 };
   const rpcServer = await listen(rpc, agent.server, traffic, ports.peers);
   const { host, port } = parseAddress(workerReports);
-  await serveWorkerApi(agent, host, port, log, ports.main('workerReports'));
+  await serveWorkerApi(agent, host, port, log, ports.side('workerReports'));
   await serveMetrics(metrics, settings.metrics, ports.side('metrics'));
   log.info({ rpc, worker, dataCenter, pid: process.pid }, 'started');
   void registerProcess(
--- a/marjorammast-app/src/protectPorts.ts
+++ b/marjorammast-app/src/protectPorts.ts
@@ -11,7 +11,7 @@
 export type PortProtections = {
   /** Protects a port for clients. */
   main: (port: string) => Protection;
-  /** Protects a port that only operators and the load balancer use. */
+  /** Protects a port that has only a few known callers. */
   side: (port: string) => Protection;
   /** Protects the port for other processes. */
   peers: InboundLimits;
--- a/packages/http/src/requestLimits.ts
+++ b/packages/http/src/requestLimits.ts
@@ -39,7 +39,7 @@
 /** Share of the memory that partial lines may take on connections that have not shown to be of a process. */
 const UNKNOWN_LINE_MEMORY_SHARE = 0.03;
 
-/** Connections of a port that only operators and the load balancer use. */
+/** Connections of a port that has only a few known callers: operators, the load balancer, or the worker of an agent. */
 const SIDE_PORT_CONNECTIONS = 64;
 
 /** Bounds of the requests on one port. */
@@ -92,7 +92,7 @@
 export type ProcessLimits = {
   /** Limits of the port that clients use. */
   main: RequestLimits;
-  /** Limits of the ports that only operators and the load balancer use. */
+  /** Limits of the ports that have only a few known callers. */
   side: RequestLimits;
   /** Budget of incomplete bodies over all ports, in bytes. */
   bodyMemoryBytes: number;
--- a/packages/settings/tests/deployTemplates.test.ts
+++ b/packages/settings/tests/deployTemplates.test.ts
@@ -15,6 +15,8 @@
   'platform.address': '127.0.0.1:7005',
   'limits.cpu_share': 0.324,
   'limits.cores': 1,
+  'limits.memory_mb': 160,
+  'limits.max_fds': 3_075,
 };
 
 /** Fills in a template as the platform does. */
@@ -31,7 +33,10 @@
     ['entry.jsonc', (text: string) => checkDocument('entry', text, dispatchSettingsSchema)],
     ['agent.jsonc', (text: string) => checkDocument('agent', text, gateSettingsSchema)],
   ] as const)('%s gives settings without mistakes', (file, check) => {
-    expect(check(fill(file))).toMatchObject({ type: 'valid', value: { name: 'edge-1' } });
+    expect(check(fill(file))).toMatchObject({
+      type: 'valid',
+      value: { name: 'edge-1', memoryMb: 160, maxDescriptors: 3_075 },
+    });
   });
 
   it('entry.jsonc switches forwarding on and passes the granted processor time', () => {
@@ -43,4 +48,13 @@
       },
     });
   });
+
+  it('reject a head timeout below the one that operators publish', () => {
+    const text = fill('entry.jsonc').replace(/\}\s*$/, '"limits": { "headerTimeoutMs": 2999 } }');
+    const result = checkDocument<unknown>('entry.jsonc', text, dispatchSettingsSchema);
+    expect(result).toMatchObject({
+      type: 'invalid',
+      mistakes: [{ path: 'limits.headerTimeoutMs' }],
+    });
+  });
 });
