--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -463,7 +463,7 @@
         const queues = rooms.findQueues(job.step, group.avoidedAgents, job.route.priority);
         const count = group.indexes.length;
         const placements = placeWaitingTasks(queues, { ...goal, count }, queueing, random);
-        this.assignGroup(job, group, placements, rooms);
+        this.assignGroup(job, group, placements, rooms, true);
       });
   }
 
@@ -472,6 +472,7 @@
     { indexes, avoidedAgents, isSuspect }: TaskGroup,
     placements: readonly Placement[],
     rooms: WorkerRooms,
+    mayQueue = false,
   ): void {
     let assignedCount = 0;
     placements.forEach((placement) => {
@@ -479,7 +480,7 @@
       const hasFailedElsewhere = [...avoidedAgents].some((name) => name !== placement.agent);
       const traits = { bestSlowness: rooms.bestSlowness, isSuspect, hasFailedElsewhere };
 
-      this.assign(job, placement, indexes.slice(assignedCount, end), traits);
+      this.assign(job, placement, indexes.slice(assignedCount, end), traits, mayQueue);
       rooms.refresh(placement.agent);
       assignedCount = end;
     });
@@ -529,6 +530,7 @@
     { agent }: Placement,
     indexes: readonly number[],
     traits: AssignmentTraits,
+    mayQueue: boolean,
   ): void {
     const connection = this.host.findConnection(agent);
     if (!connection) return;
@@ -538,7 +540,7 @@
     runs.forEach(([index, run]) =>
       this.runs.add(agent, { job, index, run, incarnation, assignedAt }),
     );
-    const queueFields = queueFieldsOf(job, this.host.queueing, assignedAt);
+    const queueFields = queueFieldsOf(job, this.host.queueing, assignedAt, mayQueue);
     void this.sendAssignment(job, connection, runs, { ...traits, ...queueFields });
   }
 
