--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -463,7 +463,7 @@
         const queues = rooms.findQueues(job.step, group.avoidedAgents, job.route.priority);
         const count = group.indexes.length;
         const placements = placeWaitingTasks(queues, { ...goal, count }, queueing, random);
-        this.assignGroup(job, group, placements, rooms, true);
+        this.assignGroup(job, group, placements, rooms);
       });
   }
 
@@ -472,7 +472,6 @@
     { indexes, avoidedAgents, isSuspect }: TaskGroup,
     placements: readonly Placement[],
     rooms: WorkerRooms,
-    mayQueue = false,
   ): void {
     let assignedCount = 0;
     placements.forEach((placement) => {
@@ -480,7 +479,7 @@
       const hasFailedElsewhere = [...avoidedAgents].some((name) => name !== placement.agent);
       const traits = { bestSlowness: rooms.bestSlowness, isSuspect, hasFailedElsewhere };
 
-      this.assign(job, placement, indexes.slice(assignedCount, end), traits, mayQueue);
+      this.assign(job, placement, indexes.slice(assignedCount, end), traits);
       rooms.refresh(placement.agent);
       assignedCount = end;
     });
@@ -530,7 +529,6 @@
     { agent }: Placement,
     indexes: readonly number[],
     traits: AssignmentTraits,
-    mayQueue: boolean,
   ): void {
     const connection = this.host.findConnection(agent);
     if (!connection) return;
@@ -540,7 +538,7 @@
     runs.forEach(([index, run]) =>
       this.runs.add(agent, { job, index, run, incarnation, assignedAt }),
     );
-    const queueFields = queueFieldsOf(job, this.host.queueing, assignedAt, mayQueue);
+    const queueFields = queueFieldsOf(job, this.host.queueing, assignedAt);
     void this.sendAssignment(job, connection, runs, { ...traits, ...queueFields });
   }
 
--- a/packages/dispatch/src/placeWaitingTasks.ts
+++ b/packages/dispatch/src/placeWaitingTasks.ts
@@ -1,5 +1,6 @@
 import type { ActiveJob } from './ActiveJob';
 import type { Assignment } from './AgentConnection';
+import { MAX_SLOWNESS_FACTOR } from './constants';
 import type { Placement, PlacementGoal } from './placeTasks';
 
 /** How tasks without room wait at agents. */
@@ -24,39 +25,35 @@
  * @param job - a job
  * @param queueing - how its tasks wait at agents, if they do
  * @param now - monotonic time, in milliseconds
- * @param mayQueue - false for tasks that have room as far as this entry knows: where they do not fit after all, they
- * are sent to another agent at once instead
  * @returns the fields of an assignment that ask the agent to queue what does not fit
  */
 export const queueFieldsOf = (
   { route, objectiveAt }: Pick<ActiveJob, 'route' | 'objectiveAt'>,
   queueing: Queueing | undefined,
   now: number,
-  mayQueue: boolean,
 ): Pick<Assignment, 'priority' | 'objectiveInMs' | 'maxQueueMs'> =>
   queueing
     ? {
         priority: route.priority,
         objectiveInMs: objectiveAt - now,
-        maxQueueMs: mayQueue ? queueing.maxQueueMs : 0,
+        maxQueueMs: queueing.maxQueueMs,
       }
     : {};
 
 const expectedMs = ({ queueMs, slowness }: QueueCandidate, { estimateMs }: PlacementGoal): number =>
   queueMs + estimateMs * slowness;
 
-/**
- * The agents at which the tasks meet their objective. Tasks that miss it wait at the entry: there their job can be
- * refused, and they keep no place from tasks that are in time.
- */
+/** The agents at which the tasks meet their objective, or else those that are not much slower than others. */
 const findAcceptable = (
   candidates: readonly QueueCandidate[],
   goal: PlacementGoal,
   maxQueueMs: number,
-): QueueCandidate[] =>
-  candidates.filter(
-    (candidate) => candidate.queueMs <= maxQueueMs && expectedMs(candidate, goal) <= goal.slackMs,
-  );
+): QueueCandidate[] => {
+  const inTime = candidates.filter(({ queueMs }) => queueMs <= maxQueueMs);
+  const meeting = inTime.filter((candidate) => expectedMs(candidate, goal) <= goal.slackMs);
+  if (meeting.length > 0) return meeting;
+  return inTime.filter(({ slowness }) => slowness < goal.bestSlowness * MAX_SLOWNESS_FACTOR);
+};
 
 const pickIndex = (length: number, random: () => number): number =>
   Math.min(length - 1, Math.floor(random() * length));
--- a/packages/gate/src/QueuedStarts.ts
+++ b/packages/gate/src/QueuedStarts.ts
@@ -132,9 +132,9 @@
    * @returns indexes of the queued tasks
    */
   join(assignment: Assignment, runs: Assignment['runs'], ownerId: string, ageMs: number): number[] {
-    const { isSuspect, maxQueueMs } = assignment;
-    this.isInUse ||= maxQueueMs !== undefined;
-    if (!maxQueueMs) return [];
+    const { isSuspect, maxQueueMs = 0 } = assignment;
+    if (maxQueueMs <= 0) return [];
+    this.isInUse = true;
     // A suspected task starts apart from others, which a queue cannot promise.
     if (isSuspect) return [];
     const waitMs = Math.min(maxQueueMs, MAX_QUEUE_MS, MAX_ASSIGNMENT_AGE_MS - ageMs);
