Fix: connections in use are not closed on an old order

Cause: with too many connections, the one to close was taken from an order that was renewed only when it was used up. A connection that was idle then and had begun a request since, or had been used last of all, was closed although others were idle. A slow request was closed although connections had become idle after the order was made.

--- a/packages/http/src/ConnectionTable.ts
+++ b/packages/http/src/ConnectionTable.ts
@@ -7,7 +7,7 @@
   orderForClosing,
   stateOf,
 } from './connectionRecord';
-import type { ConnectionRecord } from './connectionRecord';
+import type { ConnectionRecord, ConnectionState } from './connectionRecord';
 import type { Protection } from './createProtection';
 import { findRequestEnd, hasChunkedBody } from './requestEnd';
 import { renderRejection } from './rejections';
@@ -36,7 +36,8 @@
 
   private readonly perAddress = new Map<string, number>();
 
-  private order: ConnectionRecord[] = [];
+  /** Connections that may be closed for others, first to close last, with their states when they were put in order. */
+  private order: { record: ConnectionRecord; state: ConnectionState }[] = [];
 
   private orderedAt = -Infinity;
 
@@ -197,19 +198,34 @@
   /** Closes the connection that is the first to give way. Returns false if all wait for a response. */
   private closeOne(): boolean {
     const now = performance.now();
-    if (this.order.length === 0 && now - this.orderedAt >= ORDER_PERIOD_MS) {
-      this.orderedAt = now;
-      this.order = orderForClosing(this.records.values(), now).reverse();
-    }
-    let record = this.order.pop();
-    while (record && (record.socket.destroyed || stateOf(record) === 'waiting')) {
-      record = this.order.pop();
+    // Connections that became idle since, or are new, are not in an old order.
+    if (now - this.orderedAt > INSPECTION_PERIOD_MS) this.putInOrder(now);
+    let record = this.takeUnchanged();
+    if (!record && now - this.orderedAt >= ORDER_PERIOD_MS) {
+      this.putInOrder(now);
+      record = this.takeUnchanged();
     }
     if (!record) return false;
     this.close(record, 'tooManyConnections');
     return true;
   }
 
+  private putInOrder(now: number): void {
+    this.orderedAt = now;
+    this.order = orderForClosing(this.records.values(), now)
+      .map((record) => ({ record, state: stateOf(record) }))
+      .reverse();
+  }
+
+  /** Takes the next connection out of the order. Leaves out those that were used since: their place is another. */
+  private takeUnchanged(): ConnectionRecord | undefined {
+    const isUnchanged = ({ record, state }: (typeof this.order)[number]) =>
+      !record.socket.destroyed && stateOf(record) === state && record.since <= this.orderedAt;
+    let next = this.order.pop();
+    while (next && !isUnchanged(next)) next = this.order.pop();
+    return next?.record;
+  }
+
   private close(record: ConnectionRecord, reason: RejectionReason): void {
     const { socket } = record;
     if (socket.destroyed) return;
--- a/packages/http/tests/createRequestServer.test.ts
+++ b/packages/http/tests/createRequestServer.test.ts
@@ -239,6 +239,51 @@
       await waitUntil(() => going?.text().endsWith('50000') ?? false);
     });
 
+    // Guards against a request that is cut off because its connection was idle when they were last put in order.
+    it('closes an idle one before one that has begun a request since another was closed', async () => {
+      await serve({ maxConnections: 3 });
+      const [first, second, third] = [open(), open(), open()];
+      await sleep(50);
+      open();
+      await first.closed;
+      second.socket.write(`${POST_HEAD}Content-Length: 4\r\n\r\nab`);
+      await waitUntil(() => handled.length === 1);
+      open();
+      await third.closed;
+      second.socket.write('cd');
+      await waitUntil(() => second.text().startsWith('HTTP/1.1 200'));
+    });
+
+    // Guards against the loss of a connection in use while others were idle for longer.
+    it('closes the one that is idle longest, not one that was before its last request', async () => {
+      await serve({ maxConnections: 3 });
+      const [first, second, third] = [open(), open(), open()];
+      await sleep(50);
+      open();
+      await first.closed;
+      second.socket.write('GET /a HTTP/1.1\r\nHost: h\r\n\r\n');
+      await waitUntil(() => second.text().startsWith('HTTP/1.1 200'));
+      open();
+      await third.closed;
+      second.socket.write('GET /b HTTP/1.1\r\nHost: h\r\n\r\n');
+      await waitUntil(() => second.text().split('HTTP/1.1 200').length === 3);
+    });
+
+    // Guards against an order that is used for so long that slow requests are closed before idle connections.
+    it('closes idle ones that came after the connections were last put in order', async () => {
+      await serve({ maxConnections: 2 });
+      const first = open();
+      const slow = open(`${POST_HEAD}Content-Length: 4\r\n\r\nab`);
+      await waitUntil(() => handled.length === 1);
+      const third = open();
+      await first.closed;
+      await sleep(600);
+      open();
+      await third.closed;
+      slow.socket.write('cd');
+      await waitUntil(() => slow.text().startsWith('HTTP/1.1 200'));
+    });
+
     it('never closes one that waits for its response, and refuses new ones', async () => {
       await serve({ maxConnections: 2 });
       const clients = await openMany(2, 'GET /wait HTTP/1.1\r\nHost: h\r\n\r\n');
