Tests: a stop that times out with forwarded jobs, at the sender and at the receiver

Cause: a stop answers what is open at its timeout; that was tested for an entry's own jobs only. Change: tests of a running job for both sides, and of a waiting one at the receiver.

--- a/packages/proofs/tests/forwardingEntries.test.ts
+++ b/packages/proofs/tests/forwardingEntries.test.ts
@@ -143,6 +143,48 @@
     simulation.halt();
   });
 
+  // Guards against a stop that times out and leaves forwarded jobs without a true answer, or their tasks running.
+  it.each(['sender', 'receiver'])(
+    'answer a forwarded job as unfinished when the stop of the %s times out',
+    async (side) => {
+      const simulation = await createSimulation();
+      const id = await forwardOne(simulation, 3_000);
+      const second = nodeOf(simulation, 0).submit(createSubmission(simulation, 3_000, id));
+      const index = side === 'sender' ? 0 : receiverOf(simulation, id);
+      void nodeOf(simulation, index).stop(100, 400);
+      await jest.advanceTimersByTimeAsync(700);
+      expect(await second).toEqual({ type: 'unfinished', reason: 'stopping' });
+      expect(activeRuns(simulation, id)).toBe(0);
+      await jest.advanceTimersByTimeAsync(6_000);
+      expect(checkDispatchGuarantees(simulation)).toEqual([]);
+      simulation.halt();
+    },
+  );
+
+  // Guards against the start of a task of a job that a stopping receiver has refused.
+  it('refuse a forwarded job that waits when the stop of the receiver times out', async () => {
+    const simulation = await createSimulation();
+    Array.from({ length: 3 }, (_, index) => `${index}`.padStart(16, 'b')).forEach(
+      (id) =>
+        void simulation.send(
+          { ...createJob(2_500, 10, id), spec: { runMs: 2_500, cpu: 1_000 } },
+          2,
+          CLIENT_PATIENCE_MS,
+        ),
+    );
+    await jest.advanceTimersByTimeAsync(100);
+    const id = await forwardOne(simulation, 2_000);
+    const second = nodeOf(simulation, 0).submit(createSubmission(simulation, 2_000, id));
+    expect(activeRuns(simulation, id)).toBe(0);
+    void nodeOf(simulation, receiverOf(simulation, id)).stop(100, 400);
+    await jest.advanceTimersByTimeAsync(350);
+    expect(receiverOf(simulation, id)).toBeGreaterThan(0);
+    await jest.advanceTimersByTimeAsync(250);
+    expect(await second).toMatchObject({ type: 'refused', reason: 'noRoom' });
+    expect(simulation.runs.filter(({ task }) => task.startsWith(id))).toEqual([]);
+    simulation.halt();
+  });
+
   it('forward nothing to an entry that stops, and nothing while they stop', async () => {
     const simulation = await createSimulation();
     [1, 2].forEach((index) => void nodeOf(simulation, index).stop(3_000, 4_000));
