Fix: a declined job fails if its crash budget was spent meanwhile

Cause: crashes under a forwarded job are left to its receiver. The spending of a task's budget is reported once, so when it was reported before the receiver declined the job, the sender ran the task again without a limit on crashes. Change: a job that comes back fails if the budget of one of its tasks is spent. Result: declinedJob.test.ts fails before the change and passes after it.

--- a/packages/dispatch/src/CrashController.ts
+++ b/packages/dispatch/src/CrashController.ts
@@ -85,6 +85,16 @@
     return index === undefined ? undefined : createFailure(index);
   }
 
+  /**
+   * Fails a job that another entry has declined if the crash budget of a task was spent while it was forwarded.
+   *
+   * @param job - the job, which this entry runs from now on
+   */
+  handleDeclined(job: ActiveJob): void {
+    const index = this.records.findSpentTask(job.id);
+    if (index !== undefined) job.settle(createFailure(index));
+  }
+
   private giveUp({ job, index, route }: CrashingTask): void {
     this.confine(route);
     const active = this.host.findJob(job);
--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -509,7 +509,12 @@
     const { dispatcher, forwarding, operatorState } = this;
     if (!forwarding || !operatorState || this.isDraining) return false;
     if (dispatcher.hasEarlierRuns(job) || dispatcher.isBound(job.id)) return false;
-    return forwarding.sender.tryForward(job, operatorState.version, () => this.run(job));
+    return forwarding.sender.tryForward(job, operatorState.version, () => this.runDeclined(job));
+  }
+
+  private runDeclined(job: ActiveJob): void {
+    this.crashes.handleDeclined(job);
+    if (job.isOpen) this.run(job);
   }
 
   private run(job: ActiveJob): void {
