Fix: a refused connection does not close another one

Cause: with the port full, room was made for a new connection before the limit of its address was checked. An address over its limit thus had idle connections of other clients closed by opening ones that were refused. Change: the limit of the address is checked first. Result: the new test fails before the change and passes after it; createRequestServer.test.ts passes (26 tests).

--- a/packages/http/src/ConnectionTable.ts
+++ b/packages/http/src/ConnectionTable.ts
@@ -70,8 +70,9 @@
     const address = socket.remoteAddress ?? '';
     const { maxConnections, maxConnectionsPerAddress } = this.protection.limits;
     const ofAddress = (this.perAddress.get(address) ?? 0) + 1;
-    const isFull = this.records.size >= maxConnections && !this.closeOne();
-    if (isFull || ofAddress > maxConnectionsPerAddress) {
+    const hasRoom = () => this.records.size < maxConnections || this.closeOne();
+    // No other connection is closed for one that is refused.
+    if (ofAddress > maxConnectionsPerAddress || !hasRoom()) {
       this.report(record, 'tooManyConnections');
       socket.destroy();
       return;
--- a/packages/http/tests/createRequestServer.test.ts
+++ b/packages/http/tests/createRequestServer.test.ts
@@ -294,6 +294,16 @@
       await waitUntil(() => clients.every(({ text }) => text().endsWith('waited')));
     });
 
+    // Guards against an address that has other clients' connections closed by opening ones that are refused.
+    it('closes no other one for one of an address that has too many', async () => {
+      await serve({ maxConnections: 2, maxConnectionsPerAddress: 2 });
+      const others = await openMany(2);
+      await open().closed;
+      await sleep(50);
+      expect(others.map(({ socket }) => socket.destroyed)).toEqual([false, false]);
+      expect(rejections).toEqual(['tooManyConnections']);
+    });
+
     it('refuses those of an address that has too many', async () => {
       await serve({ maxConnectionsPerAddress: 2 });
       const clients = await openMany(3);
