Fix: long notices of bound tasks reach other entries

Cause: an entry tells others of bound tasks over a connection for each notice. The bounds on clients take 256 KiB from a connection without a valid message, 4 MiB before, so that a notice of a few thousand tasks was cut off. The other entry could then start such a task of a job that was sent again while the first start may still be carried out. Change: the first message of such a connection has 500 rows at most, a second one the others.

--- a/packages/dispatch/src/PeerClient.ts
+++ b/packages/dispatch/src/PeerClient.ts
@@ -10,6 +10,12 @@
 import type { Log } from '@marjorammast/telemetry';
 import { ATTACH_TIMEOUT_MS } from './constants';
 
+/**
+ * Rows of the first message on a connection. Until a valid message has arrived, the other entry takes lines of
+ * 256 KiB only, and 4 MiB afterwards.
+ */
+const FIRST_ROWS = 500;
+
 /** Dependencies of a peer client. */
 export type PeerClientOptions = {
   /** Name of this entry. */
@@ -58,7 +64,12 @@
     const peer = this.peers.find((other) => other.name === name);
     if (!peer) return;
     try {
-      await this.call(peer, 'bound', { bound });
+      const first = bound.slice(0, FIRST_ROWS);
+      const rest = bound.slice(FIRST_ROWS);
+      await this.call(peer, 'bound', [
+        { bound: first },
+        ...(rest.length > 0 ? [{ bound: rest }] : []),
+      ]);
       this.options.log.info({ peer: name, tasks: bound.length }, 'bound_tasks_told');
     } catch (error) {
       this.logFailure(peer, error);
@@ -74,7 +85,8 @@
     const peer = this.peers[Math.floor(this.options.random() * this.peers.length)];
     if (!peer) return undefined;
     try {
-      const { state } = await this.call(peer, 'operatorState', {});
+      const [answer] = await this.call(peer, 'operatorState', [{}]);
+      const state = answer?.state;
       const { revision, version } = state ?? {};
       this.options.log.info({ peer: peer.name, revision, version }, 'state_from_peer');
       return state;
@@ -87,11 +99,13 @@
   private async call<M extends Method>(
     { address }: RegisteredProcess,
     method: M,
-    params: Params<M>,
-  ): Promise<Result<M>> {
+    messages: Params<M>[],
+  ): Promise<Result<M>[]> {
     const link = await this.options.dial(address);
     try {
-      return await link.call(method, params, ATTACH_TIMEOUT_MS);
+      return await Promise.all(
+        messages.map((params) => link.call(method, params, ATTACH_TIMEOUT_MS)),
+      );
     } finally {
       link.close();
     }
--- a/packages/dispatch/tests/PeerClient.test.ts
+++ b/packages/dispatch/tests/PeerClient.test.ts
@@ -1,4 +1,11 @@
-import { CallError, Link, createCallServer } from '@marjorammast/protocol';
+import type { AddressInfo } from 'node:net';
+import {
+  CallError,
+  Link,
+  createCallServer,
+  dial as dialPort,
+  listen,
+} from '@marjorammast/protocol';
 import type { BoundTaskRows } from '@marjorammast/protocol';
 import { createLog } from '@marjorammast/telemetry';
 import { PeerClient } from '../src/PeerClient';
@@ -57,4 +64,34 @@
     expect(received).toEqual([ROWS]);
     expect(onFault).toHaveBeenCalledTimes(1);
   });
+
+  // Guards against a notice that the port of the other entry cuts off: it takes 256 KiB from an unknown connection.
+  it('tells another entry of more bound tasks than its port takes in a first message', async () => {
+    const rows = Array.from({ length: 5_000 }, (_, index): BoundTaskRows[number] => [
+      ...([
+        'a'.repeat(16),
+        index,
+        'agent-1-of-a-data-center',
+        'worker-1-of-a-data-center',
+      ] as const),
+    ]);
+    const received: BoundTaskRows = [];
+    const server = createCallServer(
+      { bound: ({ bound }) => ({ ...(received.push(...bound) && {}) }) },
+      () => undefined,
+    );
+    const traffic = { sentBytes: 0, receivedBytes: 0, messages: 0 };
+    const port = await listen('127.0.0.1:0', server, traffic);
+    const client = PeerClient.create({
+      entry: 'first',
+      dial: (address) => dialPort(address, server, traffic),
+      random: () => 0,
+      log: createLog('test', 'silent'),
+    });
+    const address = `127.0.0.1:${(port.address() as AddressInfo).port}`;
+    client.updatePeers([{ name: 'second', address, dataCenter: '' }]);
+    await client.tellBoundTasks('second', rows);
+    port.close();
+    expect(received).toEqual(rows);
+  });
 });
