--- a/marjorammast-app/tests/Crowd.ts
+++ b/marjorammast-app/tests/ClientGroup.ts
@@ -20,10 +20,10 @@
 /** Longest time to a connection, in milliseconds: three repetitions of the kernel's first segment. */
 const CONNECT_TIMEOUT_MS = 8_000;
 
-/** Time without any progress after which the crowd counts as settled, in milliseconds. */
+/** Time without any progress after which the clients count as settled, in milliseconds. */
 const STALL_MS = 4_000;
 
-/** Longest time until the crowd counts as settled, in milliseconds. */
+/** Longest time until the clients count as settled, in milliseconds. */
 const SETTLE_TIMEOUT_MS = 40_000;
 
 const PROGRESS_PERIOD_MS = 250;
@@ -114,7 +114,7 @@
 }
 
 /** Untrusted clients that hold their connections to one or more ports of a process. */
-export class Crowd {
+export class ClientGroup {
   private readonly clients: UntrustedClient[] = [];
 
   private constructor(private readonly ports: ReadonlySet<number>) {}
@@ -125,23 +125,23 @@
    * @param ports - ports of the process
    * @param count - number of connections
    * @param createScript - returns what a client sends, by its index
-   * @returns the crowd when each connection was opened or refused
+   * @returns the group when each connection was opened or refused
    */
   static async create(
     ports: readonly number[],
     count: number,
     createScript: (index: number, port: number) => Script,
-  ): Promise<Crowd> {
-    const crowd = new Crowd(new Set(ports));
+  ): Promise<ClientGroup> {
+    const group = new ClientGroup(new Set(ports));
     for (let first = 0; first < count; first += BATCH_SIZE) {
       const size = Math.min(BATCH_SIZE, count - first);
       const batch = Array.from({ length: size }, (_, offset) => {
         const port = ports[(first + offset) % ports.length] ?? 0;
         return UntrustedClient.create(port, createScript(first + offset, port));
       });
-      crowd.clients.push(...(await Promise.all(batch)));
+      group.clients.push(...(await Promise.all(batch)));
     }
-    return crowd;
+    return group;
   }
 
   /** Waits until the process has read all bytes or closed the connections, or nothing progresses. */
--- a/marjorammast-app/tests/attacks.ts
+++ b/marjorammast-app/tests/clientScenarios.ts
@@ -1,11 +1,11 @@
 import { ROUTE_HOST } from '../src/local/DispatchDeployment';
-import type { Script } from './Crowd';
+import type { Script } from './ClientGroup';
 
 /** A request that a port expects, of which the untrusted clients send variants. */
 export type Target = { method: string; path: string };
 
 /** Number of untrusted clients and what each of them sends. */
-export type Attack = {
+export type ClientScenario = {
   connections: number;
   createScript: (target: Target, job: string) => Script;
 };
@@ -13,22 +13,22 @@
 /** Length of each large chunk, below the 262,144 bytes that a body may have. */
 const CHUNK_BYTES = 63_000;
 
-/** Number of large chunks in a body without an end, which take it to twice the limit. */
-const ENDLESS_CHUNKS = 8;
+/** Number of large chunks in an incomplete body of twice the limit. */
+const OVERSIZED_CHUNKS = 8;
 
-/** Number of large chunks that are sent in excess of an announced length, 32 times the limit. */
+/** Number of large chunks sent for a body whose Content-Length covers one, 32 times the limit. */
 const EXCESS_CHUNKS = 134;
 
-/** Number of large chunks in a body that stops within the limit. */
-const STOPPED_CHUNKS = 3;
+/** Number of large chunks in an incomplete body within the limit. */
+const INCOMPLETE_CHUNKS = 3;
 
-/** Number of chunks of one byte in a body that stops within the limit. */
-const TINY_CHUNKS = 65_000;
+/** Number of chunks of one byte in an incomplete body within the limit. */
+const ONE_BYTE_CHUNKS = 65_000;
 
-/** Length that is announced for a body, in bytes. */
-const ANNOUNCED_BYTES = 1_073_741_824;
+/** Value of the Content-Length header of a body that is not sent whole, in bytes. */
+const CONTENT_LENGTH_BYTES = 1_073_741_824;
 
-/** Length of a head that stops within the limit of 16,384 bytes. */
+/** Length of an incomplete head, within the limit of 16,384 bytes. */
 const HEAD_BYTES = 15_000;
 
 /** Length of a header line that is far over the limit. */
@@ -51,7 +51,7 @@
 
 const LARGE_CHUNK = toChunk(LARGE_DATA);
 
-const TINY_BODY = Buffer.from('1\r\nx\r\n'.repeat(TINY_CHUNKS));
+const ONE_BYTE_CHUNK_BODY = Buffer.from('1\r\nx\r\n'.repeat(ONE_BYTE_CHUNKS));
 
 const SHORT_HEADER_LINES = Buffer.from('abc:def\r\n'.repeat(Math.floor(HEAD_BYTES / 9)));
 
@@ -82,7 +82,7 @@
   path: target.path.replace(':job', job),
 });
 
-const createReader =
+const createReadingScript =
   (createParts: (target: Target) => Buffer[], isComplete = false) =>
   (target: Target, job: string): Script => ({
     parts: createParts(withJob(target, job)),
@@ -93,72 +93,72 @@
 
 const repeat = (part: Buffer, count: number): Buffer[] => Array<Buffer>(count).fill(part);
 
-/** Bodies of 1 GiB as announced, of which twice the limit is sent. */
-export const announcedBodies: Attack = {
+/** Bodies with a Content-Length of 1 GiB, of which twice the limit is sent. */
+export const oversizedContentLengths: ClientScenario = {
   connections: 600,
-  createScript: createReader((target) => [
-    createBodyHead(target, `Content-Length: ${ANNOUNCED_BYTES}`),
+  createScript: createReadingScript((target) => [
+    createBodyHead(target, `Content-Length: ${CONTENT_LENGTH_BYTES}`),
     Buffer.from(BODY_START),
-    ...repeat(LARGE_DATA, ENDLESS_CHUNKS),
+    ...repeat(LARGE_DATA, OVERSIZED_CHUNKS),
   ]),
 };
 
-/** Chunked bodies of twice the limit without an end. */
-export const endlessBodies: Attack = {
+/** Incomplete chunked bodies of twice the limit. */
+export const oversizedChunkedBodies: ClientScenario = {
   connections: 600,
-  createScript: createReader((target) => [
+  createScript: createReadingScript((target) => [
     createChunkedHead(target),
-    ...repeat(LARGE_CHUNK, ENDLESS_CHUNKS),
+    ...repeat(LARGE_CHUNK, OVERSIZED_CHUNKS),
   ]),
 };
 
-/** Bodies of 8 MB that continue past their announced length. */
-export const overrunningBodies: Attack = {
+/** Bodies of 8 MB that continue past their Content-Length. */
+export const bodiesPastContentLength: ClientScenario = {
   connections: 40,
-  createScript: createReader((target) => [
+  createScript: createReadingScript((target) => [
     createBodyHead(target, `Content-Length: ${CHUNK_BYTES}`),
     ...repeat(LARGE_DATA, EXCESS_CHUNKS),
   ]),
 };
 
 /** Valid jobs with bodies of 8 MB, sent as a whole. */
-export const paddedJobs: Attack = {
+export const oversizedJobs: ClientScenario = {
   connections: 30,
-  createScript: createReader(
+  createScript: createReadingScript(
     (target) => [createBodyHead(target, `Content-Length: ${PADDED_JOB.length}`), PADDED_JOB],
     true,
   ),
 };
 
-/** Chunked bodies within the limit, in large chunks, without an end. */
-export const stoppedBodies: Attack = {
+/** Incomplete chunked bodies within the limit, in large chunks. */
+export const incompleteBodies: ClientScenario = {
   connections: 1_000,
-  createScript: createReader((target) => [
+  createScript: createReadingScript((target) => [
     createChunkedHead(target),
-    ...repeat(LARGE_CHUNK, STOPPED_CHUNKS),
+    ...repeat(LARGE_CHUNK, INCOMPLETE_CHUNKS),
   ]),
 };
 
-/** Chunked bodies within the limit, in chunks of one byte, without an end. */
-export const tinyChunks: Attack = {
+/** Incomplete chunked bodies within the limit, in chunks of one byte. */
+export const oneByteChunks: ClientScenario = {
   connections: 40,
-  createScript: createReader((target) => [createChunkedHead(target), TINY_BODY]),
+  createScript: createReadingScript((target) => [createChunkedHead(target), ONE_BYTE_CHUNK_BODY]),
 };
 
-/** Heads within the limit, of short lines, without an end. */
-export const stoppedHeads: Attack = {
+/** Incomplete heads within the limit, of short lines. */
+export const incompleteHeads: ClientScenario = {
   connections: 1_500,
-  createScript: createReader((target) => [createHead(target), SHORT_HEADER_LINES]),
+  createScript: createReadingScript((target) => [createHead(target), SHORT_HEADER_LINES]),
 };
 
 /** Header lines far over the limit. */
-export const longHeaderLines: Attack = {
+export const oversizedHeaderLines: ClientScenario = {
   connections: 200,
-  createScript: createReader((target) => [createHead(target), LONG_LINE]),
+  createScript: createReadingScript((target) => [createHead(target), LONG_LINE]),
 };
 
 /** Pipelined requests of clients that do not read the responses. */
-export const unreadResponses: Attack = {
+export const unreadResponses: ClientScenario = {
   connections: 12,
   createScript: ({ path }) => {
     const request = createHead({ method: 'GET', path: path.replace(':job', '') }, '\r\n');
@@ -167,7 +167,7 @@
   },
 };
 
-/** Length of a line that stops within the 4 MiB that a line of the RPC may have. */
+/** Length of an incomplete line, within the 4 MiB that a line of the RPC may have. */
 const LINE_BYTES = 4_000_000;
 
 /** Length of the identifier of a call, which its response repeats. */
@@ -175,7 +175,7 @@
 
 const CALL_COUNT = 16;
 
-const UNFINISHED_LINE = Buffer.concat([
+const INCOMPLETE_LINE = Buffer.concat([
   Buffer.from('{"jsonrpc":"2.0","method":"'),
   Buffer.alloc(LINE_BYTES, 'x'),
 ]);
@@ -184,14 +184,14 @@
   `${JSON.stringify({ jsonrpc: '2.0', id: 'x'.repeat(CALL_ID_BYTES), method: 'none' })}\n`,
 );
 
-/** Lines of almost 4 MiB without an end. */
-export const stoppedLines: Attack = {
+/** Incomplete lines of almost 4 MiB. */
+export const incompleteLines: ClientScenario = {
   connections: 60,
-  createScript: () => ({ parts: [UNFINISHED_LINE], isReading: true }),
+  createScript: () => ({ parts: [INCOMPLETE_LINE], isReading: true }),
 };
 
 /** Calls with long responses that the clients do not read. */
-export const unreadCalls: Attack = {
+export const unreadCalls: ClientScenario = {
   connections: 40,
   createScript: () => ({ parts: repeat(LONG_CALL, CALL_COUNT), isReading: false }),
 };
@@ -200,7 +200,7 @@
 const START_BYTES = 12;
 
 /** Connections that send the start of a request and nothing else. */
-export const createIdleAttack = (connections: number): Attack => ({
+export const createIdleScenario = (connections: number): ClientScenario => ({
   connections,
-  createScript: createReader((target) => [createHead(target).subarray(0, START_BYTES)]),
+  createScript: createReadingScript((target) => [createHead(target).subarray(0, START_BYTES)]),
 });
--- a/marjorammast-app/tests/untrustedClients.test.ts
+++ b/marjorammast-app/tests/untrustedClients.test.ts
@@ -2,22 +2,22 @@
 import { sleep } from '@marjorammast/protocol';
 import { DispatchDeployment, ROUTE_HOST, ROUTE_PREFIX } from '../src/local/DispatchDeployment';
 import type { Daemon } from '../src/local/DispatchDeployment';
-import { Crowd } from './Crowd';
+import { ClientGroup } from './ClientGroup';
 import {
-  announcedBodies,
-  createIdleAttack,
-  endlessBodies,
-  longHeaderLines,
-  overrunningBodies,
-  paddedJobs,
-  stoppedBodies,
-  stoppedHeads,
-  stoppedLines,
-  tinyChunks,
+  oversizedContentLengths,
+  createIdleScenario,
+  oversizedChunkedBodies,
+  oversizedHeaderLines,
+  bodiesPastContentLength,
+  oversizedJobs,
+  incompleteBodies,
+  incompleteHeads,
+  incompleteLines,
+  oneByteChunks,
   unreadCalls,
   unreadResponses,
-} from './attacks';
-import type { Attack, Target } from './attacks';
+} from './clientScenarios';
+import type { ClientScenario, Target } from './clientScenarios';
 import { readUnreadBytes, readUsage } from './readProcess';
 
 /** Resources of a process: memory of its VM, and descriptors without those reserved for files. */
@@ -106,19 +106,19 @@
     call.end(ORDINARY_BODY);
   });
 
-describe('a crowd of untrusted clients', () => {
+describe('many untrusted clients', () => {
   let deployment: DispatchDeployment;
-  let crowds: Crowd[];
+  let groups: ClientGroup[];
   let nextJob: number;
 
   beforeEach(async () => {
-    crowds = [];
+    groups = [];
     nextJob = 1;
     deployment = await DispatchDeployment.create(1, 1, { nodeOptions: NODE_OPTIONS });
   });
 
   afterEach(async () => {
-    crowds.forEach((crowd) => crowd.close());
+    groups.forEach((group) => group.close());
     // A graceful stop would wait for the load balancer.
     [...deployment.entries, ...deployment.agents].forEach(({ process: child }) =>
       child.kill('SIGKILL'),
@@ -129,18 +129,21 @@
   const portOf = async (endpoint: string): Promise<number> =>
     Number((await deployment.addressOf(endpoint)).split(':')[1]);
 
-  /** Opens a crowd and waits until its bytes are read or its connections are closed. */
-  const attack = async (endpoints: string[], { connections, createScript }: Attack) => {
+  /** Connects the clients of a scenario and waits until their bytes are read or their connections closed. */
+  const runScenario = async (
+    endpoints: string[],
+    { connections, createScript }: ClientScenario,
+  ) => {
     const ports = await Promise.all(endpoints.map(portOf));
-    const crowd = await Crowd.create(ports, connections, (index, port) => {
+    const group = await ClientGroup.create(ports, connections, (index, port) => {
       const target = TARGETS[endpoints[ports.indexOf(port)] ?? ''];
       if (!target) throw new Error(`no request is known for port ${port}`);
       nextJob += 1;
       return createScript(target, idOf(nextJob));
     });
-    crowds.push(crowd);
-    await crowd.settle();
-    return crowd;
+    groups.push(group);
+    await group.settle();
+    return group;
   };
 
   const findExcess = async (
@@ -191,82 +194,88 @@
   };
 
   const findRefusedStarts = (): string[] => {
-    const refusedJobs = new Set(crowds.flatMap((crowd) => crowd.refusedJobs));
+    const refusedJobs = new Set(groups.flatMap((group) => group.refusedJobs));
     return deployment.workers
       .flatMap(({ events }) => events)
       .filter(({ task, type }) => type === 'start' && refusedJobs.has(task.slice(0, 16)))
       .map(({ task }) => task);
   };
 
-  /** Checks the processes while the last crowd is connected, then the ordinary job. */
-  const expectUnharmed = async (): Promise<void> => {
+  /** Checks the processes while the last clients are connected, then the ordinary job. */
+  const expectOperational = async (): Promise<void> => {
     expect(await findExcesses()).toEqual([]);
     expect(await completeOrdinaryJob()).toBe('200 {"state":"completed"}');
     expect(await findExcesses()).toEqual([]);
     expect(findRefusedStarts()).toEqual([]);
   };
 
-  /** Opens one crowd after the other at a port, and closes all but the last. */
-  const attackInTurn = async (endpoint: string, attacks: Attack[]): Promise<void> => {
-    for (let index = 0; index < attacks.length; index += 1) {
-      crowds.forEach((crowd) => crowd.close());
-      const next = attacks[index];
-      if (next) await attack([endpoint], next);
+  /** Runs the scenarios one after the other at a port. The clients of the last one stay connected. */
+  const runScenarios = async (endpoint: string, scenarios: ClientScenario[]): Promise<void> => {
+    for (let index = 0; index < scenarios.length; index += 1) {
+      groups.forEach((group) => group.close());
+      const next = scenarios[index];
+      if (next) await runScenario([endpoint], next);
       expect(await findExcesses()).toEqual([]);
     }
-    await expectUnharmed();
+    await expectOperational();
   };
 
   describe.each(['entry-0-clients', 'agent-0-reports'])('at %s', (endpoint) => {
-    // Guards against a body that is buffered although its announced length is over the limit.
-    it('with bodies announced far over the limit', () => attackInTurn(endpoint, [announcedBodies]));
+    // Guards against a body that is buffered although its Content-Length is over the limit.
+    it('with a Content-Length far over the limit', () =>
+      runScenarios(endpoint, [oversizedContentLengths]));
 
     // Guards against a chunked body that is buffered past the limit.
     it('with chunked bodies that continue past the limit', () =>
-      attackInTurn(endpoint, [endlessBodies]));
+      runScenarios(endpoint, [oversizedChunkedBodies]));
 
-    // Guards against bytes that are buffered past the announced length.
-    it('with bodies that continue past their announced length', () =>
-      attackInTurn(endpoint, [overrunningBodies]));
+    // Guards against bytes that are buffered past the Content-Length.
+    it('with bodies that continue past their Content-Length', () =>
+      runScenarios(endpoint, [bodiesPastContentLength]));
 
     // Guards against bodies within the limit that take all memory together.
     it('with many bodies in large chunks that stop short of their end', () =>
-      attackInTurn(endpoint, [stoppedBodies]));
+      runScenarios(endpoint, [incompleteBodies]));
 
     // Guards against a body that takes many times its length, one object for each chunk.
     it('with bodies in chunks of one byte that stop short of their end', () =>
-      attackInTurn(endpoint, [tinyChunks]));
+      runScenarios(endpoint, [oneByteChunks]));
 
     // Guards against request heads that take all memory, and against lines that are kept past the limit.
     it('with request heads that never end', () =>
-      attackInTurn(endpoint, [longHeaderLines, stoppedHeads]));
+      runScenarios(endpoint, [oversizedHeaderLines, incompleteHeads]));
 
     // Guards against responses that are buffered without a limit for clients that do not read.
-    it('that does not read its responses', () => attackInTurn(endpoint, [unreadResponses]));
+    it('that does not read its responses', () => runScenarios(endpoint, [unreadResponses]));
   });
 
   // Guards against whole jobs over the limit that take all memory, and against a run of a refused one.
   it('at entry-0-clients with whole jobs far over the limit', () =>
-    attackInTurn('entry-0-clients', [paddedJobs]));
+    runScenarios('entry-0-clients', [oversizedJobs]));
 
   describe.each(['entry-0-readiness', 'entry-0-metrics', 'agent-0-metrics'])(
     'at %s',
     (endpoint) => {
       // Guards against ports that are left out of the limits.
       it('with bodies and heads that never end', () =>
-        attackInTurn(endpoint, [announcedBodies, tinyChunks, longHeaderLines, stoppedHeads]));
+        runScenarios(endpoint, [
+          oversizedContentLengths,
+          oneByteChunks,
+          oversizedHeaderLines,
+          incompleteHeads,
+        ]));
 
       // Guards against responses, here long ones, that are buffered for clients that do not read.
-      it('that does not read its responses', () => attackInTurn(endpoint, [unreadResponses]));
+      it('that does not read its responses', () => runScenarios(endpoint, [unreadResponses]));
     },
   );
 
   describe.each(['entry-0-rpc', 'agent-0-rpc'])('at %s', (endpoint) => {
     // Guards against lines within the limit that take all memory together.
-    it('with lines that never end', () => attackInTurn(endpoint, [stoppedLines]));
+    it('with lines that never end', () => runScenarios(endpoint, [incompleteLines]));
 
     // Guards against responses that are buffered up to a limit for each connection only.
-    it('that does not read its responses', () => attackInTurn(endpoint, [unreadCalls]));
+    it('that does not read its responses', () => runScenarios(endpoint, [unreadCalls]));
   });
 
   // Guards against connections that take all descriptors, on one port or on all ports together.
@@ -275,7 +284,7 @@
     ['all ports of the entry', ENTRY_ENDPOINTS, 3_200],
     ['all ports of the agent', AGENT_ENDPOINTS, 4_200],
   ])('with more connections than descriptors at %s', async (_, endpoints, connections) => {
-    await attack(endpoints, createIdleAttack(connections));
-    await expectUnharmed();
+    await runScenario(endpoints, createIdleScenario(connections));
+    await expectOperational();
   });
 });
