--- a/packages/dispatch/src/EntryLoad.ts
+++ b/packages/dispatch/src/EntryLoad.ts
@@ -53,7 +53,9 @@
    * @returns the load of an entry that is idle
    */
   static create(marks: UtilizationMarks, processorCores: number, usage: ProcessUsage): EntryLoad {
-    return Object.assign(new EntryLoad(marks, processorCores), { usage });
+    const load = new EntryLoad(marks, processorCores);
+    load.usage = usage;
+    return load;
   }
 
   /** Smoothed utilization, from 0 to 1. */
--- a/packages/dispatch/src/ForwardedJobs.ts
+++ b/packages/dispatch/src/ForwardedJobs.ts
@@ -111,7 +111,7 @@
   private recordContact(sender: Sender, { echo, heldMs = 0 }: { echo?: number; heldMs?: number }) {
     if (echo === undefined) return;
     const sentAt = Math.min(performance.now(), echo + heldMs);
-    Object.assign(sender, { heardAt: Math.max(sender.heardAt, sentAt) });
+    sender.heardAt = Math.max(sender.heardAt, sentAt);
   }
 
   private isHeard({ link, heardAt }: Sender): boolean {
--- a/packages/dispatch/src/JobForwarder.ts
+++ b/packages/dispatch/src/JobForwarder.ts
@@ -102,7 +102,7 @@
     if (!this.mayForward(job) || !this.options.load.takeTurn()) return false;
     const link = this.chooseLink();
     if (!link) return false;
-    Object.assign(job, { forwardedTo: link.peer.name });
+    job.forwardedTo = link.peer.name;
     void this.send(job, version, link, run);
     return true;
   }
@@ -187,7 +187,7 @@
   ): void {
     const { log, random } = this.options;
     log.info({ job: job.id, peer: link.peer.name, reason }, 'forward_declined');
-    Object.assign(link, { pausedUntil: performance.now() + FORWARD_PAUSE_MS * (1 + random()) });
+    link.pausedUntil = performance.now() + FORWARD_PAUSE_MS * (1 + random());
     this.takeBack(job, run);
   }
 
@@ -207,7 +207,7 @@
 
   /** The receiver certainly does not run the job. */
   private takeBack(job: ActiveJob, run: () => void): void {
-    Object.assign(job, { forwardedTo: undefined });
+    job.forwardedTo = undefined;
     this.expiries.delete(job.id);
     if (job.isOpen) run();
   }
--- a/packages/dispatch/src/ReceiverLink.ts
+++ b/packages/dispatch/src/ReceiverLink.ts
@@ -220,7 +220,7 @@
   /** Runs of jobs that are not pending at the receiver have been admitted. */
   private markStarted(pending: ReadonlySet<string>, asOf: number): void {
     this.jobs.forEach((forwardedAt, job) => {
-      if (forwardedAt < asOf && !pending.has(job.id)) Object.assign(job, { mayHaveRun: true });
+      if (forwardedAt < asOf && !pending.has(job.id)) job.mayHaveRun = true;
     });
   }
 
