--- a/packages/dispatch/src/ActiveJob.ts
+++ b/packages/dispatch/src/ActiveJob.ts
@@ -20,7 +20,7 @@
 
 /** A job that this entry has accepted and not answered. */
 export class ActiveJob {
-  /** Built when they are needed: an entry that forwards the job has no use for them. */
+  /** Built on first use, since an entry that forwards the job does not need them. */
   private builtTasks: Task[] | undefined;
 
   /** Monotonic time of arrival, in milliseconds. */
@@ -35,7 +35,7 @@
   /** Monotonic time before which no task may start, in milliseconds. */
   notBefore = 0;
 
-  /** Tell for each submission of the job whether it is still wanted for certain. */
+  /** One function for each submission of the job: true while the submission is certainly still wanted. */
   readonly startGuards = new Set<() => boolean>();
 
   private doneCount = 0;
--- a/packages/dispatch/src/AgentConnection.ts
+++ b/packages/dispatch/src/AgentConnection.ts
@@ -13,7 +13,7 @@
 import type { Log } from '@marjorammast/telemetry';
 import { ClockReading } from './ClockReading';
 import { QueueRequests } from './QueueRequests';
-import type { QueueNews } from './QueueRequests';
+import type { QueueReport } from './QueueRequests';
 import {
   AGENT_CALL_TIMEOUT_MS,
   ATTACH_TIMEOUT_MS,
@@ -164,9 +164,9 @@
    * Updates the free resources of the agent's worker.
    *
    * @param free - free resources as the agent counts them
-   * @param news - what it tells of its queue
+   * @param report - what it reports of its queue
    */
-  updateFree(free: Resources, { queueMs, queueFullFor }: QueueNews = {}): void {
+  updateFree(free: Resources, { queueMs, queueFullFor }: QueueReport = {}): void {
     if (this.workerView) this.workerView = { ...this.workerView, free, queueMs, queueFullFor };
     this.queueRequests.update({ queueMs, queueFullFor }, performance.now());
     this.pausedUntil = 0;
--- a/packages/dispatch/src/CrashController.ts
+++ b/packages/dispatch/src/CrashController.ts
@@ -88,7 +88,7 @@
   private giveUp({ job, index, route }: CrashingTask): void {
     this.confine(route);
     const active = this.host.findJob(job);
-    // The entry to which the job was forwarded decides.
+    // The entry to which the job was forwarded decides on it.
     if (active?.forwardedTo !== undefined) return;
     // The crash may become known only after another run of the task has succeeded.
     if (active?.tasks[index]?.state.type === 'done') return;
--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -397,10 +397,10 @@
           findByLink(link)?.updateView(view);
           return {};
         },
-        ended: ({ runs, free, ...queueNews }, link) => {
+        ended: ({ runs, free, ...queueReport }, link) => {
           const connection = findByLink(link);
           if (!connection) return {};
-          connection.updateFree(free, queueNews);
+          connection.updateFree(free, queueReport);
           this.dispatcher.handleRunEnds(connection.name, runs);
           return {};
         },
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -453,7 +453,7 @@
     });
   }
 
-  /** Has the tasks of a job that have room nowhere wait at agents. */
+  /** Queues the tasks of a job that fit on no worker at agents. */
   private queueAtAgents(job: ActiveJob, rooms: WorkerRooms, goal: QueueGoal): void {
     const { queueing, random } = this.host;
     if (!queueing || job.waitingTasks.length === 0) return;
@@ -478,7 +478,6 @@
       const end = assignedCount + placement.count;
       const hasFailedElsewhere = [...avoidedAgents].some((name) => name !== placement.agent);
       const traits = { bestSlowness: rooms.bestSlowness, isSuspect, hasFailedElsewhere };
-
       this.assign(job, placement, indexes.slice(assignedCount, end), traits);
       rooms.refresh(placement.agent);
       assignedCount = end;
@@ -591,7 +590,7 @@
     }
   }
 
-  /** Number of tasks of an assignment that do not fit as far as this entry knows. */
+  /** Number of tasks of an assignment that do not fit by this entry's view of the worker. */
   private countQueueRequests({ free }: AgentConnection, needs: Resources, tasks: number): number {
     return this.host.queueing ? Math.max(0, tasks - countFitting(needs, free)) : 0;
   }
@@ -627,7 +626,7 @@
     this.runs.removeDetached(outstanding);
     this.schedulePass();
     if (!job.isOpen || !job.isAssigned(index, agent, run)) return;
-    // Also a task that was queued there may have been started.
+    // A task that was queued there may have been started too.
     job.mayHaveRun = true;
     this.applyEnd(job, index, agent, 'lapsed');
   }
--- a/packages/dispatch/src/EntryLoad.ts
+++ b/packages/dispatch/src/EntryLoad.ts
@@ -1,6 +1,6 @@
 import type { EntryLoadReport } from '@marjorammast/protocol';
-import { acceptanceMark, nextForwardedShare } from './chooseForwarding';
-import type { UtilizationMarks } from './chooseForwarding';
+import { acceptanceThreshold, nextForwardedShare } from './chooseForwarding';
+import type { UtilizationThresholds } from './chooseForwarding';
 
 /** Time that a process has used since its start, in milliseconds. */
 export type ProcessUsage = {
@@ -28,8 +28,8 @@
 
 /**
  * Load of an entry, and the part of its new jobs that it forwards. Load pattern: the processor of an entry is at its
- * limit while others have time. A throttled process counts as active for all the time that it waits, but only once its quota is
- * used up; the processor time shows before that how much of the quota is left. The larger of the two counts.
+ * limit while others have time. The utilization is the larger of two: that of the event loop, which includes the time in
+ * which a process over its quota is throttled, and the used part of the quota, which rises before the throttling begins.
  */
 export class EntryLoad {
   private usage: ProcessUsage = NO_USAGE;
@@ -39,21 +39,25 @@
   private share = 0;
 
   /** Sum of the shares since the last forwarded job. */
-  private turn = 0;
+  private shareSum = 0;
 
   private constructor(
-    private readonly marks: UtilizationMarks,
+    private readonly thresholds: UtilizationThresholds,
     private readonly processorCores: number,
   ) {}
 
   /**
-   * @param marks - the marks of the utilization
+   * @param thresholds - the thresholds of the utilization
    * @param processorCores - processor time that the entry may use, in cores
    * @param usage - usage of the process at present
    * @returns the load of an entry that is idle
    */
-  static create(marks: UtilizationMarks, processorCores: number, usage: ProcessUsage): EntryLoad {
-    const load = new EntryLoad(marks, processorCores);
+  static create(
+    thresholds: UtilizationThresholds,
+    processorCores: number,
+    usage: ProcessUsage,
+  ): EntryLoad {
+    const load = new EntryLoad(thresholds, processorCores);
     load.usage = usage;
     return load;
   }
@@ -70,12 +74,12 @@
 
   /** True when the entry may soon forward jobs, or does so. */
   get needsReceivers(): boolean {
-    return this.share > 0 || this.smoothed >= this.marks.lowUtilization;
+    return this.share > 0 || this.smoothed >= this.thresholds.lowUtilization;
   }
 
   /** True when the entry has time for jobs of others. */
   get hasSpareTime(): boolean {
-    return this.share === 0 && this.smoothed < acceptanceMark(this.marks);
+    return this.share === 0 && this.smoothed < acceptanceThreshold(this.thresholds);
   }
 
   /**
@@ -92,25 +96,25 @@
     if (windowMs <= 0) return;
     const newest = Math.max(activeMs / windowMs, processorMs / (windowMs * this.processorCores));
     this.smoothed += NEWEST_WEIGHT * (Math.min(1, newest) - this.smoothed);
-    this.share = nextForwardedShare(this.share, this.smoothed, this.marks);
-    if (this.share === 0) this.turn = 0;
+    this.share = nextForwardedShare(this.share, this.smoothed, this.thresholds);
+    if (this.share === 0) this.shareSum = 0;
   }
 
   /**
-   * Tells for a new job whether it is its turn to be forwarded. The turns are spread evenly over the jobs.
+   * Decides whether a new job is forwarded. The forwarded jobs are spread evenly over all jobs.
    *
    * @returns true when the job is to be forwarded
    */
   takeTurn(): boolean {
-    this.turn += this.share;
-    if (this.turn < 1) return false;
-    this.turn -= 1;
+    this.shareSum += this.share;
+    if (this.shareSum < 1) return false;
+    this.shareSum -= 1;
     return true;
   }
 
   /**
    * @param isOpen - false when the entry declines all forwarded jobs for another reason than its load
-   * @returns what other entries are told
+   * @returns the load as it is reported to other entries
    */
   report(isOpen: boolean): EntryLoadReport {
     const { processorCores, utilization } = this;
--- a/packages/dispatch/src/ForwardedJobs.ts
+++ b/packages/dispatch/src/ForwardedJobs.ts
@@ -20,7 +20,7 @@
   remainingMs: number;
   /** Aborts when the sender withdraws the job or is lost. */
   signal: AbortSignal;
-  /** True while it is certain that the sender has not given the job up for long. */
+  /** True while the sender is certain to want the job, or was so until recently. */
   mayStart: () => boolean;
 };
 
@@ -42,8 +42,8 @@
 
 type Sender = {
   link: Link;
-  /** Time of this process at which the sender was certainly alive, in milliseconds. */
-  heardAt: number;
+  /** Latest monotonic time at which the sender was certainly alive, in milliseconds. */
+  lastContactAt: number;
   /** Jobs that have not been answered, with what aborts each of their submissions. */
   jobs: Map<string, Set<AbortController>>;
 };
@@ -92,7 +92,7 @@
   private senderOf(link: Link): Sender {
     const known = this.senders.get(link);
     if (known) return known;
-    const sender: Sender = { link, heardAt: -Infinity, jobs: new Map() };
+    const sender: Sender = { link, lastContactAt: -Infinity, jobs: new Map() };
     this.senders.set(link, sender);
     link.onClose(() => this.remove(sender));
     return sender;
@@ -105,17 +105,17 @@
   }
 
   /**
-   * Notes when the sender was alive. The arrival of a message does not tell that: it may have waited in the socket while
-   * this process was paused. Its echo of this process's clock does.
+   * Records when the sender was alive, by its echo of this process's clock. The time of arrival does not show it, since
+   * the message may have waited in the socket while this process was paused.
    */
   private recordContact(sender: Sender, { echo, heldMs = 0 }: { echo?: number; heldMs?: number }) {
     if (echo === undefined) return;
     const sentAt = Math.min(performance.now(), echo + heldMs);
-    sender.heardAt = Math.max(sender.heardAt, sentAt);
+    sender.lastContactAt = Math.max(sender.lastContactAt, sentAt);
   }
 
-  private isHeard({ link, heardAt }: Sender): boolean {
-    return link.isOpen && performance.now() - heardAt < SENDER_TIMEOUT_MS;
+  private isHeard({ link, lastContactAt }: Sender): boolean {
+    return link.isOpen && performance.now() - lastContactAt < SENDER_TIMEOUT_MS;
   }
 
   private async forward(params: Params<'forward'>, sender: Sender): Promise<Result<'forward'>> {
@@ -163,11 +163,11 @@
   /** Watches for silent senders for as long as there are jobs. */
   private watchSilence(): void {
     if (this.clearSilenceTimeout) return;
-    const heardAts = [...this.senders.values()].flatMap(({ jobs, heardAt }) =>
-      jobs.size > 0 ? [heardAt] : [],
+    const contactTimes = [...this.senders.values()].flatMap(({ jobs, lastContactAt }) =>
+      jobs.size > 0 ? [lastContactAt] : [],
     );
-    if (heardAts.length === 0) return;
-    const delayMs = Math.min(...heardAts) + SENDER_TIMEOUT_MS - performance.now();
+    if (contactTimes.length === 0) return;
+    const delayMs = Math.min(...contactTimes) + SENDER_TIMEOUT_MS - performance.now();
     this.clearSilenceTimeout = setIoTimeout(
       () => {
         this.clearSilenceTimeout = undefined;
@@ -181,8 +181,8 @@
   private closeSilent(): void {
     [...this.senders.values()]
       .filter((sender) => sender.jobs.size > 0 && !this.isHeard(sender))
-      .forEach(({ link, heardAt }) => {
-        const silentMs = Math.round(performance.now() - heardAt);
+      .forEach(({ link, lastContactAt }) => {
+        const silentMs = Math.round(performance.now() - lastContactAt);
         this.host.log.warn({ peer: link.name, silentMs }, 'sender_silent');
         link.close();
       });
--- a/packages/dispatch/src/Forwarding.ts
+++ b/packages/dispatch/src/Forwarding.ts
@@ -1,6 +1,6 @@
 import type { Handlers, Link } from '@marjorammast/protocol';
 import type { Log } from '@marjorammast/telemetry';
-import type { UtilizationMarks } from './chooseForwarding';
+import type { UtilizationThresholds } from './chooseForwarding';
 import { LOAD_WINDOW_MS } from './constants';
 import { EntryLoad } from './EntryLoad';
 import type { ProcessUsage } from './EntryLoad';
@@ -10,7 +10,7 @@
 import type { ForwardAnswer } from './JobForwarder';
 
 /** How an entry takes part in forwarding. */
-export type ForwardingOptions = UtilizationMarks & {
+export type ForwardingOptions = UtilizationThresholds & {
   /** Largest number of entries to which it forwards jobs. */
   maxPeers: number;
   /** Processor time that the entry may use, in cores. */
@@ -59,7 +59,7 @@
     const load = EntryLoad.create(options, processorCores, readUsage());
     const { entry, dataCenter, dial, random, log } = host;
     const sender = JobForwarder.create({
-      ...{ entry, dataCenter, marks: options, maxPeers, load, dial, random, meter, log },
+      ...{ entry, dataCenter, thresholds: options, maxPeers, load, dial, random, meter, log },
     });
     const receiver = ForwardedJobs.create({
       ...host,
--- a/packages/dispatch/src/JobForwarder.ts
+++ b/packages/dispatch/src/JobForwarder.ts
@@ -5,7 +5,7 @@
 import type { ActiveJob } from './ActiveJob';
 import { createAgentRanking } from './chooseAgents';
 import { choosePeers, chooseReceiver } from './chooseForwarding';
-import type { UtilizationMarks } from './chooseForwarding';
+import type { UtilizationThresholds } from './chooseForwarding';
 import {
   FORWARD_MARGIN_MS,
   FORWARD_PAUSE_MS,
@@ -23,7 +23,7 @@
   /** Name of this entry. */
   entry: string;
   dataCenter: string;
-  marks: UtilizationMarks;
+  thresholds: UtilizationThresholds;
   /** Largest number of receivers. */
   maxPeers: number;
   load: EntryLoad;
@@ -74,7 +74,7 @@
     this.updateLinks();
   }
 
-  /** Opens and closes connections as the load calls for it; to be called after each window of the load. */
+  /** Opens and closes connections as the load requires; called after each window of the load. */
   maintain(): void {
     this.updateLinks();
     this.links.forEach((link) => link.maintain());
@@ -90,7 +90,7 @@
   }
 
   /**
-   * Forwards a new job if the load calls for it and another entry has time. From then on this entry does not run it,
+   * Forwards a new job if the load requires it and another entry has spare time. From then on this entry does not run it,
    * unless the receiver declines it.
    *
    * @param job - the job, of which nothing has been assigned
@@ -136,14 +136,14 @@
   }
 
   private chooseLink(): ReceiverLink | undefined {
-    const { dataCenter, marks, random } = this.options;
+    const { dataCenter, thresholds, random } = this.options;
     const now = performance.now();
     const receivers = [...this.links.values()].flatMap((link) => {
       const { load, reservedCores, peer } = link;
       if (!load || link.pausedUntil > now || !this.isPeer(link)) return [];
       return [{ name: peer.name, dataCenter: peer.dataCenter, load, reservedCores }];
     });
-    const name = chooseReceiver(receivers, dataCenter, marks, random());
+    const name = chooseReceiver(receivers, dataCenter, thresholds, random());
     return name === undefined ? undefined : this.links.get(name);
   }
 
@@ -188,14 +188,14 @@
     const { log, random } = this.options;
     log.info({ job: job.id, peer: link.peer.name, reason }, 'forward_declined');
     link.pausedUntil = performance.now() + FORWARD_PAUSE_MS * (1 + random());
-    this.takeBack(job, run);
+    this.runLocally(job, run);
   }
 
   private handleFailure(job: ActiveJob, link: ReceiverLink, error: unknown, run: () => void): void {
     const fault = error instanceof CallError ? error.fault : 'lost';
     this.options.meter(fault === 'notSent' ? 'notSent' : 'lost');
     if (fault === 'notSent') {
-      this.takeBack(job, run);
+      this.runLocally(job, run);
       return;
     }
     const detail = error instanceof Error ? error.message : String(error);
@@ -205,8 +205,8 @@
     job.settle({ type: 'unfinished', reason: 'forward lost' });
   }
 
-  /** The receiver certainly does not run the job. */
-  private takeBack(job: ActiveJob, run: () => void): void {
+  /** Runs a job at this entry, after the receiver has declined it or has certainly not received it. */
+  private runLocally(job: ActiveJob, run: () => void): void {
     job.forwardedTo = undefined;
     this.expiries.delete(job.id);
     if (job.isOpen) run();
--- a/packages/dispatch/src/QueueRequests.ts
+++ b/packages/dispatch/src/QueueRequests.ts
@@ -1,23 +1,23 @@
 import type { WorkerView } from '@marjorammast/protocol';
 import { FULL_QUEUE_RETENTION_MS } from './constants';
 
-/** What an agent tells of its queue with each view and each answer. */
-export type QueueNews = Pick<WorkerView, 'queueMs' | 'queueFullFor'>;
+/** What an agent reports of its queue with each view and each answer. */
+export type QueueReport = Pick<WorkerView, 'queueMs' | 'queueFullFor'>;
 
 /**
- * What an entry knows of the queue of one agent and has asked of it. Load pattern: all queues are full, many jobs
- * wait, and a dispatch pass follows each end of a run. Without this knowledge the same tasks were declined again
- * with each pass, and one pass sent tasks of all waiting jobs to the same few queues.
+ * State of one agent's queue as an entry knows it, with the requests to queue tasks that are under way. Load pattern:
+ * all queues are full, many jobs wait, and a dispatch pass follows each end of a run. Without this state each pass
+ * would send the same tasks to the same full queues again.
  */
 export class QueueRequests {
   /** Number of tasks that the agent has been asked to queue and has not answered for. */
   private pendingTasks = 0;
 
-  /** Tasks of this priority and less urgent ones find no place in the queue. */
+  /** Tasks of this priority and less urgent ones have no place in the queue. */
   private fullFor = Infinity;
 
-  /** Monotonic time at which the agent told so, in milliseconds. */
-  private toldAt = -Infinity;
+  /** Monotonic time of the latest report, in milliseconds. */
+  private reportedAt = -Infinity;
 
   private constructor() {}
 
@@ -27,14 +27,14 @@
   }
 
   /**
-   * Records what the agent tells of its queue.
+   * Records a report of the agent.
    *
-   * @param news - what it tells
+   * @param report - the report
    * @param now - monotonic time, in milliseconds
    */
-  update({ queueFullFor = Infinity }: QueueNews, now: number): void {
+  update({ queueFullFor = Infinity }: QueueReport, now: number): void {
     this.fullFor = queueFullFor;
-    this.toldAt = now;
+    this.reportedAt = now;
   }
 
   /**
@@ -61,9 +61,9 @@
    * @param now - monotonic time, in milliseconds
    * @returns the number of such tasks that the agent may be asked to queue now
    */
-  openTasks(limit: number, priority: number, now: number): number {
-    // The agent tells nobody that its queue has a place again, so that a full one is asked again in the end.
-    const isKnown = now - this.toldAt < FULL_QUEUE_RETENTION_MS;
+  remainingTasks(limit: number, priority: number, now: number): number {
+    // Agents do not report that their queue has a place again, so a full queue is asked again after a while.
+    const isKnown = now - this.reportedAt < FULL_QUEUE_RETENTION_MS;
     if (isKnown && priority >= this.fullFor) return 0;
     return Math.max(0, limit - this.pendingTasks);
   }
--- a/packages/dispatch/src/ReceiverLink.ts
+++ b/packages/dispatch/src/ReceiverLink.ts
@@ -27,7 +27,7 @@
   log: Log;
 };
 
-/** What an entry forwards, without the fields that show the age of the message. */
+/** Parameters of a `forward` call without the fields that show the age of the message. */
 export type ForwardedJob = Omit<Params<'forward'>, 'echo' | 'heldMs'>;
 
 /** Age from which a report of the load is not used any more, in milliseconds. */
@@ -99,7 +99,7 @@
     return this.jobs.has(job);
   }
 
-  /** Opens the link if it is needed, and closes it when it was not needed for long. */
+  /** Opens the link if it is needed, and closes it when it has not been needed for some time. */
   maintain(): void {
     const now = performance.now();
     if (this.host.isNeeded() || this.hasJobs) {
@@ -125,7 +125,7 @@
     if (this.newestLoad) this.newestLoad.sent += 1;
     this.scheduleHeartbeat(FORWARD_HEARTBEAT_MS);
     try {
-      const answer = await this.link.call('forward', { ...params, ...this.age() }, 0);
+      const answer = await this.link.call('forward', { ...params, ...this.ageFields() }, 0);
       this.updateLoad(answer.load);
       return answer;
     } finally {
@@ -204,7 +204,7 @@
     try {
       const { clock, load, pending } = await link.call(
         'heartbeat',
-        this.age(),
+        this.ageFields(),
         HEARTBEAT_TIMEOUT_MS,
       );
       this.reading?.update(clock);
@@ -228,7 +228,7 @@
     this.newestLoad = { load, at: performance.now(), sent: 0 };
   }
 
-  private age(): { echo?: number; heldMs: number } {
+  private ageFields(): { echo?: number; heldMs: number } {
     if (!this.reading) return { heldMs: 0 };
     const { clock: echo, at } = this.reading;
     return { echo, heldMs: performance.now() - at };
--- a/packages/dispatch/src/RouteRunTimes.ts
+++ b/packages/dispatch/src/RouteRunTimes.ts
@@ -8,17 +8,15 @@
 const MAX_RATIO = 2;
 
 /**
- * Largest ratio of a task's run time to the client's estimate that is reckoned with while the run times of its route
- * are not known. Clients' estimates are up to 40 % off.
+ * Ratio of a task's run time to the client's estimate that is assumed while the run times of its route are unknown. Clients' estimates are up to 40 % off.
  */
 const UNKNOWN_RUN_TIME_FACTOR = 1.7;
 
 type RunTime = { runs: number; logMs: number };
 
 /**
- * Learns how long tasks of each route run on a worker of slowness 1. Load pattern: rough estimates of the clients. Of
- * the tasks with a small estimate, many run longer than that, so that the estimate alone would select just these
- * for slower workers.
+ * Learns how long tasks of each route run on a worker of slowness 1. Load pattern: the clients' estimates are rough.
+ * Many tasks with a small estimate run for longer, and the estimate alone would place just these on slower workers.
  */
 export class RouteRunTimes {
   private readonly runTimes = new Map<string, RunTime>();
@@ -48,7 +46,7 @@
   /**
    * @param route - name of the route of a task
    * @param estimateMs - the client's estimate of its run time, in milliseconds
-   * @returns run time to reckon with on a worker of slowness 1, in milliseconds: the longer of the estimate and the
+   * @returns expected run time on a worker of slowness 1, in milliseconds: the longer of the estimate and the
    * average of the route
    */
   expectedMs(route: string, estimateMs: number): number {
--- a/packages/dispatch/src/ScarcePlacement.ts
+++ b/packages/dispatch/src/ScarcePlacement.ts
@@ -55,8 +55,8 @@
   recordFreeShare(service: string, freeShare: number, now: number): void {
     const change = this.roomOf(service).recordFreeShare(freeShare, now);
     if (!change) return;
-    const { isScarce, since } = change;
-    this.log.info({ service, scarce: isScarce, since: Math.round(since) }, 'room_scarce');
+    const { isScarce, durationMs } = change;
+    this.log.info({ service, scarce: isScarce, since: Math.round(durationMs) }, 'room_scarce');
   }
 
   /**
@@ -83,7 +83,7 @@
   /**
    * @param route - name of the route of a task
    * @param estimateMs - the client's estimate of its run time, in milliseconds
-   * @returns run time to reckon with on a worker of slowness 1, in milliseconds
+   * @returns expected run time on a worker of slowness 1, in milliseconds
    */
   expectedMs(route: string, estimateMs: number): number {
     return this.isOn ? this.runTimes.expectedMs(route, estimateMs) : estimateMs;
--- a/packages/dispatch/src/ScarceRoom.ts
+++ b/packages/dispatch/src/ScarceRoom.ts
@@ -1,7 +1,7 @@
 /** Part of the fast capacity that is free, below which it is scarce. */
 export const SCARCE_FREE_SHARE = 0.15;
 
-/** Part of the fast capacity that is free, from which a present scarcity does not continue. */
+/** Part of the fast capacity that is free, from which a scarcity ends. */
 export const AMPLE_FREE_SHARE = 0.3;
 
 /**
@@ -13,8 +13,8 @@
 /** Change of the state of a service. */
 export type ScarcityChange = {
   isScarce: boolean;
-  /** Time for which free capacity had been scarce, in milliseconds; 0 at the beginning. */
-  since: number;
+  /** Time for which free capacity had been scarce, in milliseconds; 0 when the scarcity begins. */
+  durationMs: number;
 };
 
 /**
@@ -24,7 +24,7 @@
  */
 export class ScarceRoom {
   /** Time at which the present or last scarcity began, in milliseconds. */
-  private begunAt = 0;
+  private startedAt = 0;
 
   /** Time of the last sign, in milliseconds. */
   private lastSignAt = -Infinity;
@@ -59,7 +59,8 @@
     const isScarce = this.isScarce(now);
     if (isScarce === this.wasScarce) return undefined;
     this.wasScarce = isScarce;
-    return { isScarce, since: isScarce ? 0 : this.lastSignAt + SCARCITY_HOLD_MS - this.begunAt };
+    const durationMs = isScarce ? 0 : this.lastSignAt + SCARCITY_HOLD_MS - this.startedAt;
+    return { isScarce, durationMs };
   }
 
   /**
@@ -72,7 +73,7 @@
   }
 
   private recordSign(now: number): void {
-    if (!this.isScarce(now)) this.begunAt = now;
+    if (!this.isScarce(now)) this.startedAt = now;
     this.lastSignAt = now;
   }
 }
--- a/packages/dispatch/src/WorkerRooms.ts
+++ b/packages/dispatch/src/WorkerRooms.ts
@@ -115,8 +115,8 @@
   }
 
   /**
-   * Free part of the processor capacity of the open fast workers, from 0 to 1. It is 1 when no open worker is slower:
-   * then there is none that could spare the fast ones.
+   * Free part of the processor capacity of the open fast workers, from 0 to 1. It is 1 when no open worker is slower,
+   * since no task could be placed on a slower one instead.
    */
   get freeFastShare(): number {
     const open = this.workers.filter(({ view }) => view.state === 'open');
@@ -190,7 +190,7 @@
       if (queueMs === undefined || !isUsable || !canRun(step, view)) return [];
       const queueShare = scaleResources(view.capacity, QUEUE_CAPACITY_SHARE);
       const limit = Math.max(1, countFitting(step.needs, queueShare));
-      const queueTasks = queueRequests.openTasks(limit, priority, now);
+      const queueTasks = queueRequests.remainingTasks(limit, priority, now);
       return queueTasks > 0 ? [{ agent: name, slowness, queueMs, queueTasks }] : [];
     });
   }
--- a/packages/dispatch/src/chooseForwarding.ts
+++ b/packages/dispatch/src/chooseForwarding.ts
@@ -1,8 +1,8 @@
 import type { EntryLoadReport, RegisteredProcess } from '@marjorammast/protocol';
 import { compareText } from './chooseAgents';
 
-/** Marks of the utilization between which the forwarded share is kept. */
-export type UtilizationMarks = {
+/** Thresholds of the utilization between which the forwarded share is kept. */
+export type UtilizationThresholds = {
   /** Utilization above which a rising part of the new jobs is forwarded. */
   highUtilization: number;
   /** Utilization below which that part falls. */
@@ -18,19 +18,19 @@
   reservedCores: number;
 };
 
-/** Utilization from which the load may be any amount above what the processor can do. */
+/** Utilization from which the processor counts as saturated: the load may exceed its capacity by any amount. */
 const SATURATED_UTILIZATION = 0.9;
 
-/** Factor by which the kept share falls in each window in which the processor is saturated. */
+/** Factor by which the part of the jobs that is kept falls in each window in which the processor is saturated. */
 const SATURATED_FACTOR = 0.45;
 
-/** Fall of the forwarded share in each window with a utilization below the low mark. */
+/** Decrease of the forwarded share in each window with a utilization below the low threshold. */
 const RETURN_PER_WINDOW = 0.05;
 
-/** The same between the low mark and the middle of the marks; above it the share is kept. */
+/** Decrease between the low threshold and the middle of the thresholds, above which the share stays the same. */
 const SLOW_RETURN_PER_WINDOW = 0.015;
 
-/** Largest part of the new jobs that is forwarded: the rest shows how much the entry could take. */
+/** Largest part of the new jobs that is forwarded; the jobs that are kept show whether the entry could run more. */
 const MAX_FORWARDED_SHARE = 0.95;
 
 /** Share below which forwarding ends. */
@@ -40,20 +40,20 @@
 const MAX_LOOP_CORES = 1;
 
 /**
- * Chooses the part of the new jobs that an entry forwards. Load pattern: clients are spread unevenly over unlike
- * entries, so that the processor of one is at its limit while others have time. The kept share follows the
- * utilization in proportion above the high mark, falls faster when the processor is saturated, before jobs miss their
- * objectives, and rises slowly, so that the load does not swing between entries.
+ * Chooses the part of the new jobs that an entry forwards. Load pattern: clients are spread unevenly over entries of
+ * different size, so that the processor of one is at its limit while others have time. Above the high threshold, the part
+ * that is kept shrinks in proportion to the utilization, and faster when the processor is saturated. Below the middle of
+ * the thresholds it rises slowly, so that the load does not oscillate between entries.
  *
  * @param share - the part of the last window, from 0 to 1
  * @param utilization - utilization of the entry, from 0 to 1
- * @param marks - the marks of the utilization
+ * @param thresholds - the thresholds of the utilization
  * @returns the part of the next window, from 0 to 1
  */
 export const nextForwardedShare = (
   share: number,
   utilization: number,
-  { highUtilization, lowUtilization }: UtilizationMarks,
+  { highUtilization, lowUtilization }: UtilizationThresholds,
 ): number => {
   const kept = 1 - share;
   if (utilization > highUtilization) {
@@ -69,38 +69,40 @@
 };
 
 /**
- * @param marks - the marks of the utilization
- * @returns the utilization below which an entry accepts jobs of others. It is below the high mark, so that jobs of
+ * @param thresholds - the thresholds of the utilization
+ * @returns the utilization below which an entry accepts jobs of others. It is below the high threshold, so that jobs of
  * others do not make it forward its own.
  */
-export const acceptanceMark = ({ highUtilization, lowUtilization }: UtilizationMarks): number =>
-  (highUtilization + lowUtilization) / 2;
+export const acceptanceThreshold = ({
+  highUtilization,
+  lowUtilization,
+}: UtilizationThresholds): number => (highUtilization + lowUtilization) / 2;
 
 /** Processor time of an entry that jobs of others may use, in cores. */
-const spareCores = ({ load, reservedCores }: Receiver, mark: number): number => {
+const spareCores = ({ load, reservedCores }: Receiver, threshold: number): number => {
   const cores = Math.min(MAX_LOOP_CORES, load.processorCores);
-  return load.accepts ? cores * (mark - load.utilization) - reservedCores : 0;
+  return load.accepts ? cores * (threshold - load.utilization) - reservedCores : 0;
 };
 
 /**
- * Chooses the receiver of a job by chance, weighted by spare processor time: several senders see the same report. Those of the
- * sender's data centre come first.
+ * Chooses the receiver of a job at random, weighted by spare processor time, since several senders see the same report.
+ * Receivers in the sender's data centre come first.
  *
  * @param receivers - the entries that may be asked
  * @param dataCenter - data centre of the sender
- * @param marks - the marks of the utilization
+ * @param thresholds - the thresholds of the utilization
  * @param random - uniform random number in [0, 1)
  * @returns name of the receiver, or `undefined` when none has time to spare
  */
 export const chooseReceiver = (
   receivers: readonly Receiver[],
   dataCenter: string,
-  marks: UtilizationMarks,
+  thresholds: UtilizationThresholds,
   random: number,
 ): string | undefined => {
-  const mark = acceptanceMark(marks);
+  const threshold = acceptanceThreshold(thresholds);
   const spare = receivers
-    .map((receiver) => ({ receiver, cores: spareCores(receiver, mark) }))
+    .map((receiver) => ({ receiver, cores: spareCores(receiver, threshold) }))
     .filter(({ cores }) => cores > 0);
   const near = spare.filter(({ receiver }) => receiver.dataCenter === dataCenter);
   const candidates = near.length > 0 ? near : spare;
@@ -115,8 +117,8 @@
 
 /**
  * Chooses the entries to which an entry may forward jobs, so that the number of connections does not grow with the
- * deployment. Half of them are of its own data centre and half of others, as all entries of one data centre may be short
- * of processor time. Within each group they are ordered by rank (rendezvous hashing).
+ * deployment. Half of them are in its own data centre and half in others, since all entries of one data centre may be
+ * short of processor time. Within each group they are ordered by rank (rendezvous hashing).
  *
  * @param peers - all other entries
  * @param rankOf - rank of an entry for this one
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -70,7 +70,7 @@
 
 /**
  * Ratio of actual to expected run time with which a task has to meet its objective on a slower worker to count as
- * certain to meet it. The tasks of a job differ by up to 15 %; with 1.2 hardly any task of the replayed load passes.
+ * certain to meet it. The tasks of a job differ by up to 15 %; a margin of 1.2 would exclude almost all tasks.
  */
 export const SLOW_RUN_MARGIN = 1.1;
 
@@ -181,8 +181,9 @@
  * report, so that one report does not attract more jobs than fit.
  */
 export const JOB_COST_MS = 4;
+
 /** Part of a worker's capacity that the tasks waiting at its agent may need together. */
 export const QUEUE_CAPACITY_SHARE = 1 / 4;
 
-/** Time for which the queue of an agent counts as full after the agent has told so, in milliseconds. */
+/** Time for which an agent's queue counts as full after the agent has reported it, in milliseconds. */
 export const FULL_QUEUE_RETENTION_MS = 120;
--- a/packages/dispatch/src/placeTasks.ts
+++ b/packages/dispatch/src/placeTasks.ts
@@ -22,7 +22,7 @@
   count: number;
   /** The client's estimate of a task's run time, in milliseconds. */
   estimateMs: number;
-  /** Run time to reckon with on a worker of slowness 1, in milliseconds; the estimate if absent. */
+  /** Expected run time on a worker of slowness 1, in milliseconds; the estimate if absent. */
   expectedMs?: number;
   /** Time until the latency objective, in milliseconds; negative once it has passed. */
   slackMs: number;
@@ -34,10 +34,10 @@
 export type Placement = { agent: string; count: number };
 
 /**
- * Distributes tasks over agents. Agents are ranked by the speed of their workers, as the rule says;
- * usually all workers about as fast as the fast ones come first and count as equal. Among equals, workers near the data come first, then
- * agents in the entry's data centre, then those on whose workers the most tasks fit, so that a job
- * needs few messages.
+ * Distributes tasks over agents. The rule ranks the agents by the speed of their workers; usually all
+ * workers about as fast as the fast ones come first and count as equal. Among equals, workers near the
+ * data come first, then agents in the entry's data centre, then those on whose workers the most tasks
+ * fit, so that a job needs few messages.
  *
  * Load pattern: several entries see the same free resources at the same time. The number of fitting tasks
  * is therefore weighted by a random factor, so that they do not all choose the same worker.
--- a/packages/dispatch/src/placementRule.ts
+++ b/packages/dispatch/src/placementRule.ts
@@ -61,10 +61,10 @@
 };
 
 /**
- * The same rule for entries whose tasks wait for a fast worker, as long as they meet their objective on one, rather
- * than start on a slower worker on which they meet it without a margin. Load pattern: the fast workers are full at
- * most moments, so that urgent tasks are placed on slower workers at once and end late, while tasks of lower priority
- * that are not accepted there get the next free fast capacity.
+ * Ranks like {@link spareFast}, but accepts a slower worker only for tasks that meet their objective on it with a margin,
+ * or that would miss it on a fast worker too; the others wait for a fast one. Load pattern: the fast workers are full at
+ * most times, so that urgent tasks are placed on slower workers at once and end late, while tasks of lower priority that
+ * are not accepted there get the next free fast capacity.
  */
 export const waitForFast: PlacementRule = {
   ...spareFast,
--- a/packages/dispatch/tests/JobForwarder.test.ts
+++ b/packages/dispatch/tests/JobForwarder.test.ts
@@ -51,13 +51,13 @@
   const load = createLoad(utilization);
   const forwarder = JobForwarder.create({
     ...{ entry: 'own', dataCenter: 'one', maxPeers: 4, load, dial, random: () => 0.5, meter, log },
-    marks: { highUtilization: 0.7, lowUtilization: 0.5 },
+    thresholds: { highUtilization: 0.7, lowUtilization: 0.5 },
   });
   forwarder.updatePeers(PEERS, []);
   forwarder.maintain();
   await pass(20);
   const run = jest.fn();
-  /** Submits jobs until one is forwarded: not each job has its turn. */
+  /** Submits jobs until one is forwarded, since only a part of them is. */
   const forward = async (job: ActiveJob = createTestJob(2, 100)) => {
     const isForwarded = [1, 2, 3].some(() => forwarder.tryForward(job, 4, run));
     await pass(5);
--- a/packages/dispatch/tests/ScarceRoom.test.ts
+++ b/packages/dispatch/tests/ScarceRoom.test.ts
@@ -5,7 +5,7 @@
     const room = ScarceRoom.create();
     expect(room.recordFreeShare(0.2, 0)).toBeUndefined();
     expect(room.isScarce(0)).toBe(false);
-    expect(room.recordFreeShare(0.1, 10)).toEqual({ isScarce: true, since: 0 });
+    expect(room.recordFreeShare(0.1, 10)).toEqual({ isScarce: true, durationMs: 0 });
     expect(room.recordFreeShare(0.2, 200)).toBeUndefined();
     expect(room.isScarce(499)).toBe(true);
     expect(room.isScarce(500)).toBe(false);
@@ -14,7 +14,7 @@
   it('begins when a job waits, whatever is free', () => {
     const room = ScarceRoom.create();
     room.recordWaiting(0);
-    expect(room.recordFreeShare(0.9, 1)).toEqual({ isScarce: true, since: 0 });
+    expect(room.recordFreeShare(0.9, 1)).toEqual({ isScarce: true, durationMs: 0 });
   });
 
   // Guards against a state that stays because nothing is dispatched, or because of changes from pass to pass.
@@ -22,10 +22,10 @@
     const room = ScarceRoom.create();
     room.recordFreeShare(0, 1_000);
     expect(room.isScarce(2_000)).toBe(false);
-    expect(room.recordFreeShare(0.5, 9_000)).toEqual({ isScarce: false, since: 300 });
+    expect(room.recordFreeShare(0.5, 9_000)).toEqual({ isScarce: false, durationMs: 300 });
     for (let at = 10_000; at < 12_000; at += 50)
       room.recordFreeShare((at / 50) % 2 ? 0.05 : 0.5, at);
     expect(room.isScarce(12_000)).toBe(true);
-    expect(room.recordFreeShare(0.5, 12_300)).toEqual({ isScarce: false, since: 2_200 });
+    expect(room.recordFreeShare(0.5, 12_300)).toEqual({ isScarce: false, durationMs: 2_200 });
   });
 });
--- a/packages/dispatch/tests/chooseForwarding.test.ts
+++ b/packages/dispatch/tests/chooseForwarding.test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check';
 import { choosePeers, chooseReceiver, nextForwardedShare } from '../src/chooseForwarding';
 import type { Receiver } from '../src/chooseForwarding';
-import { MARKS } from './forwardingSupport';
+import { THRESHOLDS } from './forwardingSupport';
 
 const createReceiver = (name: string, dataCenter: string, utilization: number): Receiver => ({
   name,
@@ -24,17 +24,17 @@
 ];
 
 describe('nextForwardedShare', () => {
-  it('rises with the utilization above the high mark, and faster when saturated', () => {
-    expect(nextForwardedShare(0, 0.7, MARKS)).toBe(0);
-    expect(nextForwardedShare(0, 0.8, MARKS)).toBeCloseTo(0.125);
-    expect(nextForwardedShare(0, 1, MARKS)).toBeGreaterThan(0.5);
+  it('rises with the utilization above the high threshold, and faster when saturated', () => {
+    expect(nextForwardedShare(0, 0.7, THRESHOLDS)).toBe(0);
+    expect(nextForwardedShare(0, 0.8, THRESHOLDS)).toBeCloseTo(0.125);
+    expect(nextForwardedShare(0, 1, THRESHOLDS)).toBeGreaterThan(0.5);
   });
 
-  it('keeps the share near the high mark, and falls below', () => {
-    expect(nextForwardedShare(0.4, 0.65, MARKS)).toBe(0.4);
-    expect(nextForwardedShare(0.4, 0.55, MARKS)).toBeLessThan(0.4);
-    expect(nextForwardedShare(0.4, 0.3, MARKS)).toBeLessThan(0.36);
-    expect(nextForwardedShare(0.03, 0.3, MARKS)).toBe(0);
+  it('keeps the share near the high threshold, and falls below', () => {
+    expect(nextForwardedShare(0.4, 0.65, THRESHOLDS)).toBe(0.4);
+    expect(nextForwardedShare(0.4, 0.55, THRESHOLDS)).toBeLessThan(0.4);
+    expect(nextForwardedShare(0.4, 0.3, THRESHOLDS)).toBeLessThan(0.36);
+    expect(nextForwardedShare(0.03, 0.3, THRESHOLDS)).toBe(0);
   });
 
   it('stays between 0 and 1', () => {
@@ -43,7 +43,7 @@
         fc.double({ min: 0, max: 1, noNaN: true }),
         fc.double({ min: 0, max: 1, noNaN: true }),
         (share, utilization) => {
-          const next = nextForwardedShare(Math.min(share, 0.95), utilization, MARKS);
+          const next = nextForwardedShare(Math.min(share, 0.95), utilization, THRESHOLDS);
           expect(next).toBeGreaterThanOrEqual(0);
           expect(next).toBeLessThan(1);
         },
@@ -55,10 +55,10 @@
 describe('chooseReceiver', () => {
   it('prefers the own data centre while an entry there has time', () => {
     const far = createReceiver('far', 'two', 0);
-    expect(chooseReceiver([far, createReceiver('near', 'one', 0.5)], 'one', MARKS, 0.9)).toBe(
+    expect(chooseReceiver([far, createReceiver('near', 'one', 0.5)], 'one', THRESHOLDS, 0.9)).toBe(
       'near',
     );
-    expect(chooseReceiver([far, createReceiver('near', 'one', 0.6)], 'one', MARKS, 0.9)).toBe(
+    expect(chooseReceiver([far, createReceiver('near', 'one', 0.6)], 'one', THRESHOLDS, 0.9)).toBe(
       'far',
     );
   });
@@ -67,7 +67,7 @@
     const receivers = [createReceiver('a', 'one', 0.1), createReceiver('b', 'one', 0.5)];
     const count = (name: string, list: Receiver[]) =>
       Array.from({ length: 100 }, (_, index) =>
-        chooseReceiver(list, 'one', MARKS, index / 100),
+        chooseReceiver(list, 'one', THRESHOLDS, index / 100),
       ).filter((chosen) => chosen === name).length;
     expect(count('a', receivers)).toBe(84);
     const [first, second] = receivers as [Receiver, Receiver];
@@ -78,7 +78,7 @@
     const closed = createReceiver('a', 'one', 0.1);
     closed.load.accepts = false;
     expect(
-      chooseReceiver([closed, createReceiver('b', 'one', 0.8)], 'one', MARKS, 0),
+      chooseReceiver([closed, createReceiver('b', 'one', 0.8)], 'one', THRESHOLDS, 0),
     ).toBeUndefined();
   });
 });
--- a/packages/dispatch/tests/forwardingReplay.test.ts
+++ b/packages/dispatch/tests/forwardingReplay.test.ts
@@ -5,7 +5,7 @@
 import { chooseReceiver } from '../src/chooseForwarding';
 import { FORWARD_HEARTBEAT_MS, JOB_COST_MS, LOAD_WINDOW_MS } from '../src/constants';
 
-const MARKS = { highUtilization: 0.7, lowUtilization: 0.5 };
+const THRESHOLDS = { highUtilization: 0.7, lowUtilization: 0.5 };
 
 /** Processor time of a job at the entry that runs it, in milliseconds. */
 const RUN_COST_MS = 3.7;
@@ -42,7 +42,7 @@
 
 const createState = (entry: ReplayedEntry, index: number): State => {
   const usage = { activeMs: 0, idleMs: 0, processorMs: 0 };
-  const load = EntryLoad.create(MARKS, entry.cores, { ...usage });
+  const load = EntryLoad.create(THRESHOLDS, entry.cores, { ...usage });
   const name = `entry-${index}`;
   return {
     ...entry,
@@ -77,7 +77,7 @@
       const reservedCores = ((state.sent.get(name) ?? 0) * JOB_COST_MS) / LOAD_WINDOW_MS;
       return load ? [{ name, dataCenter, load, reservedCores }] : [];
     });
-    const name = chooseReceiver(receivers, state.dataCenter, MARKS, random());
+    const name = chooseReceiver(receivers, state.dataCenter, THRESHOLDS, random());
     return states.find((other) => other.name === name);
   };
   const arrive = (state: State, observation: Observation): void => {
--- a/packages/dispatch/tests/forwardingSupport.ts
+++ b/packages/dispatch/tests/forwardingSupport.ts
@@ -3,8 +3,8 @@
 import { createLog } from '@marjorammast/telemetry';
 import { EntryLoad } from '../src/EntryLoad';
 
-/** Marks of the utilization that the tests use. */
-export const MARKS = { highUtilization: 0.7, lowUtilization: 0.5 };
+/** Thresholds of the utilization that the tests use. */
+export const THRESHOLDS = { highUtilization: 0.7, lowUtilization: 0.5 };
 
 /** A log that keeps its lines. */
 export const createLineLog = () => {
@@ -19,7 +19,7 @@
  * @returns the load
  */
 export const createLoad = (utilization: number): EntryLoad => {
-  const load = EntryLoad.create(MARKS, 1, { activeMs: 0, idleMs: 0, processorMs: 0 });
+  const load = EntryLoad.create(THRESHOLDS, 1, { activeMs: 0, idleMs: 0, processorMs: 0 });
   [200, 400, 600, 800, 1_000].forEach((ms) =>
     load.update({ activeMs: ms * utilization, idleMs: ms * (1 - utilization), processorMs: 0 }),
   );
--- a/packages/dispatch/tests/queueAtAgents.test.ts
+++ b/packages/dispatch/tests/queueAtAgents.test.ts
@@ -155,7 +155,7 @@
     await jest.advanceTimersByTimeAsync(10);
     dispatcher.halt();
     expect([job.isCommitted, job.mayHaveRun]).toEqual([true, true]);
-    expect(connection.queueRequests.openTasks(2, 0, performance.now())).toBe(2);
+    expect(connection.queueRequests.remainingTasks(2, 0, performance.now())).toBe(2);
   });
 
   // Guards against a run for a job that was answered while its assignment was under way.
--- a/packages/dispatch/tests/unevenWorkers.test.ts
+++ b/packages/dispatch/tests/unevenWorkers.test.ts
@@ -42,7 +42,7 @@
 describe('jobs on fast and slow workers with the long kind at 2.2 times its rate', () => {
   // Guards against a rule that changes placement while there is enough capacity.
   it.each([1, 8])(
-    'places the same tasks on the same workers in calm, with %i entries',
+    'places the same tasks on the same workers with enough capacity, with %i entries',
     (entries) => {
       const usual = replayAll(setting(0.3, entries), USUAL);
       const placementsOf = (options: PlacementOptions) =>
--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -210,7 +210,7 @@
       reason,
       slowness: this.slowness.value,
       incarnation: session ? incarnationOf(session.identity) : '',
-      ...(reason ? {} : this.queuedStarts.news),
+      ...(reason ? {} : this.queuedStarts.report),
     };
   }
 
--- a/packages/gate/src/QueuedStarts.ts
+++ b/packages/gate/src/QueuedStarts.ts
@@ -24,7 +24,7 @@
   DeclineReason | 'displaced' | 'expired' | 'abandoned' | 'entryLost' | 'workerLost';
 
 /** What the entries are told of the queue. */
-export type QueueNews = Pick<WorkerView, 'queueMs' | 'queueFullFor'>;
+export type QueueReport = Pick<WorkerView, 'queueMs' | 'queueFullFor'>;
 
 /** State of the worker as the queue sees it. */
 export type QueuedWorker = {
@@ -95,7 +95,7 @@
   }
 
   /** What the entries are told of the queue: for a task that needs as much as the mean of the runs. */
-  get news(): QueueNews {
+  get report(): QueueReport {
     if (!this.isInUse) return {};
     const { runs, capacity, slowness } = this.host.worker();
     const needs = meanNeeds(runs);
