--- a/packages/http/src/BodyBudget.ts
+++ b/packages/http/src/BodyBudget.ts
@@ -1,8 +1,8 @@
 import { PAGE_BYTES, PagePool } from './PagePool';
 
-/** Holds bytes of a body that is being read. */
+/** Owner of reserved bytes, such as a body that is being read. */
 export type BodyHolder = {
-  /** Called when the budget closes this holder; its bytes are released already. */
+  /** Called when the budget evicts this holder; its bytes are released already. */
   evict: () => void;
 };
 
@@ -41,13 +41,13 @@
   }
 
   /**
-   * Reserves bytes before they are allocated. When they do not fit, the holder with the most bytes is
-   * closed, among equals the one without progress for the longest time. The caller counts with the bytes
-   * that it would have then.
+   * Reserves bytes before they are allocated. While they do not fit, the holder with the most bytes is
+   * evicted; among equals, the one without progress for the longest time. The caller counts with the bytes
+   * that it asks for.
    *
    * @param holder - who needs the bytes
    * @param bytes - number of bytes, in addition to those that it has
-   * @returns false when the caller itself is the one to close; its bytes are released then
+   * @returns false when the caller itself is evicted; its bytes are released then
    */
   reserve(holder: BodyHolder, bytes: number): boolean {
     const fits = this.makeRoom(holder, bytes);
@@ -60,7 +60,7 @@
    *
    * @param holder - who needs the pages
    * @param count - number of pages, in addition to those that it has
-   * @returns the pages, or `undefined` when the caller itself is the one to close
+   * @returns the pages, or `undefined` when the caller itself is evicted
    */
   reservePages(holder: BodyHolder, count: number): Buffer[] | undefined {
     if (!this.makeRoom(holder, count * PAGE_BYTES)) return undefined;
@@ -70,7 +70,7 @@
   }
 
   /**
-   * Notes that a holder has received bytes for which it has memory already.
+   * Records progress of a holder whose new bytes fit into memory that it has already.
    *
    * @param holder - the holder
    */
--- a/packages/http/src/ConnectionTable.ts
+++ b/packages/http/src/ConnectionTable.ts
@@ -16,19 +16,20 @@
 /** Period in which all connections of a port are inspected, in milliseconds. */
 export const INSPECTION_PERIOD_MS = 500;
 
-/** Accepted connections after which all are inspected at once: each may bring a head. */
+/** Number of accepted connections after which all are inspected at once, since each may bring a head. */
 const ACCEPTS_PER_INSPECTION = 64;
 
-/** Minimum time between two times at which all connections are put in order, in milliseconds. */
+/** Minimum time between two sorts of all connections, in milliseconds. */
 const ORDER_PERIOD_MS = 20;
 
 /** Maximum number of requests without a response on one connection. */
 const MAX_OPEN_REQUESTS = 16;
 
-/**
- * Bytes on the wire for each byte of a body that is skipped: a chunk of one byte takes 6 of them.
- */
-const MAX_FRAMING = 8;
+/** Largest ratio of bytes on the wire to bytes of a skipped body. A chunk of one byte takes 6 bytes. */
+const MAX_FRAMING_FACTOR = 8;
+
+/** A connection and its estimated memory, in bytes. */
+type MemoryHolder = { record: ConnectionRecord; bytes: number };
 
 /** Connections of one port. Decides which are closed when there are too many, or when they hold too much. */
 export class ConnectionTable {
@@ -36,6 +37,7 @@
 
   private readonly perAddress = new Map<string, number>();
 
+  /** Connections that may be closed for others, the first to close last. */
   private order: ConnectionRecord[] = [];
 
   private orderedAt = -Infinity;
@@ -83,7 +85,7 @@
   }
 
   /**
-   * Notes the head of a request.
+   * Records a request whose head has arrived.
    *
    * @param request - the request
    * @param response - its response
@@ -92,7 +94,7 @@
   begin(request: IncomingMessage, response: ServerResponse): boolean {
     const { socket } = request;
     const record = this.records.get(socket);
-    // The parser goes through all requests of a read, also after the connection was closed.
+    // The parser handles all requests of a read, even after the connection was closed.
     if (!record || socket.destroyed) return false;
     record.openRequests += 1;
     if (record.openRequests > MAX_OPEN_REQUESTS) {
@@ -118,9 +120,9 @@
   }
 
   /**
-   * Closes the connections whose time has passed, and as many as it takes for the others to keep within
-   * the memory. Times count from inspection to inspection, so that a pause of the process, after which
-   * its sockets have not been read yet, is nobody's fault.
+   * Closes the connections that have timed out, and those with the largest memory until the others are within
+   * the limit. Time is counted from inspection to inspection, so that a pause of the process does not time
+   * out clients whose bytes it has not read.
    */
   inspect(): void {
     const now = performance.now();
@@ -129,7 +131,7 @@
     this.acceptsSinceInspection = 0;
     const { maxHeaderBytes, incompleteBytes } = this.protection.limits;
     let total = 0;
-    const holders: { record: ConnectionRecord; bytes: number }[] = [];
+    const holders: MemoryHolder[] = [];
     this.records.forEach((record) => {
       const expired = this.observe(record, elapsedMs);
       const bytes = expired ? 0 : estimateMemory(record, maxHeaderBytes);
@@ -138,14 +140,20 @@
       total += bytes;
       holders.push({ record, bytes });
     });
-    if (total <= incompleteBytes) return;
+    this.closeLargest(holders, total - incompleteBytes);
+  }
+
+  /** Closes the connections with the most memory until the given number of bytes is released. */
+  private closeLargest(holders: MemoryHolder[], excessBytes: number): void {
+    if (excessBytes <= 0) return;
+    let excess = excessBytes;
     holders.sort(
       (left, right) => right.bytes - left.bytes || left.record.since - right.record.since,
     );
     holders.every(({ record, bytes }) => {
       this.close(record, record.unsentBytes > 0 ? 'unreadResponse' : 'noMemory');
-      total -= bytes;
-      return total > incompleteBytes;
+      excess -= bytes;
+      return excess > 0;
     });
   }
 
@@ -177,7 +185,7 @@
     else this.perAddress.delete(address);
   }
 
-  /** Compares a connection with the last inspection. Returns why it is to be closed, if its time has passed. */
+  /** Compares a connection with the last inspection. Returns the reason to close it, if it has timed out. */
   private observe(record: ConnectionRecord, elapsedMs: number): RejectionReason | undefined {
     const { bytesRead, writableLength } = record.socket;
     const { bodyTimeoutMs, writeTimeoutMs, maxBodyBytes } = this.protection.limits;
@@ -191,10 +199,10 @@
     if (!isReadingBody(record)) return undefined;
     if (record.quietMs > bodyTimeoutMs) return 'bodyTimeout';
     const bodyBytes = bytesRead - record.requestEnd;
-    return bodyBytes > MAX_FRAMING * maxBodyBytes ? 'bodyTooLarge' : undefined;
+    return bodyBytes > MAX_FRAMING_FACTOR * maxBodyBytes ? 'bodyTooLarge' : undefined;
   }
 
-  /** Closes the connection that is the first to give way. Returns false if all wait for a response. */
+  /** Closes the first connection in the order for closing. Returns false if all wait for a response. */
   private closeOne(): boolean {
     const now = performance.now();
     if (this.order.length === 0 && now - this.orderedAt >= ORDER_PERIOD_MS) {
@@ -225,7 +233,7 @@
     socket.setTimeout(this.protection.limits.writeTimeoutMs, () => socket.destroy());
   }
 
-  /** A rejection must not be taken for the response to an earlier request on the connection. */
+  /** False if the client could take a rejection for the response to an earlier request on the connection. */
   private mayAnswer(record: ConnectionRecord): boolean {
     return (
       stateOf(record) === 'incomplete' &&
--- a/packages/http/src/PagePool.ts
+++ b/packages/http/src/PagePool.ts
@@ -2,8 +2,8 @@
 export const PAGE_BYTES = 8_192;
 
 /**
- * Pages of equal size that are used again. A buffer that is dropped keeps its memory until the next
- * collection, so that a crowd of bodies that come and go would take more memory than they hold.
+ * Reuses pages of equal size. A buffer that is dropped keeps its memory until the next garbage collection, so
+ * many short-lived bodies would take more memory than they hold at any time.
  */
 export class PagePool {
   private readonly free: Buffer[] = [];
@@ -20,7 +20,7 @@
     return this.free.length * PAGE_BYTES;
   }
 
-  /** @returns a page with any content */
+  /** @returns a page, whose content is undefined */
   take(): Buffer {
     return this.free.pop() ?? Buffer.allocUnsafeSlow(PAGE_BYTES);
   }
--- a/packages/http/src/PagedBuffer.ts
+++ b/packages/http/src/PagedBuffer.ts
@@ -2,17 +2,17 @@
 import { PAGE_BYTES } from './PagePool';
 
 /**
- * Largest chunk that is kept as it is although more may follow, in bytes. A larger one that is copied only
- * later has outlived the young generation, and keeps its memory until all of the heap is collected.
+ * Largest chunk that is kept without a copy although more may follow, in bytes. A larger one that is copied later
+ * may have left the young generation, where its memory is freed only by a full garbage collection.
  */
 const MAX_KEPT_BYTES = PAGE_BYTES;
 
-/** A chunk that is a small part of a larger buffer would keep all of it in memory. */
+/** False for a part of a larger buffer, which would stay in memory as a whole. */
 const ownsMemory = (chunk: Buffer): boolean => chunk.length === chunk.buffer.byteLength;
 
-/** Grows with the bytes of one body or one line. Every byte is reserved before memory is taken for it. */
+/** Buffer of one body or one line, which grows by pages. Every byte is reserved before memory is allocated for it. */
 export class PagedBuffer {
-  /** The only chunk so far, which is not copied: most bodies arrive in one. */
+  /** The only chunk so far. It is not copied, since most bodies arrive in one chunk. */
   private onlyChunk: Buffer | undefined;
 
   private pages: Buffer[] = [];
@@ -69,7 +69,7 @@
     return text.startsWith('\uFEFF') ? text.slice(1) : text;
   }
 
-  /** @returns the bytes, which stay as they are when the buffer changes */
+  /** @returns the bytes; later changes of the buffer do not affect them */
   toBytes(): Buffer {
     return this.onlyChunk ?? Buffer.concat(this.pages, this.size);
   }
--- a/packages/http/src/connectionRecord.ts
+++ b/packages/http/src/connectionRecord.ts
@@ -2,7 +2,7 @@
 import type { Socket } from 'node:net';
 import { match } from 'ts-pattern';
 
-/** One connection of a client, as it was seen last. */
+/** State of one connection of a client at the last inspection. */
 export type ConnectionRecord = {
   socket: Socket;
   /** Requests whose response has not been sent whole. */
@@ -32,21 +32,21 @@
 export type ConnectionState = 'idle' | 'incomplete' | 'waiting';
 
 /**
- * Bytes after a request that do not count as the next one: spaces in the lines of a head are not known from
- * the parsed request.
+ * Number of bytes after a request that do not count as the start of the next one. The parsed request does not show
+ * the spaces in the lines of its head, so its end is not known exactly.
  */
 const END_TOLERANCE_BYTES = 512;
 
 /**
- * Memory for each byte of a head: a trial with heads of 1,500 short lines took 10 bytes for each, one with a
- * single long line took 1.
+ * Upper bound on the memory for each byte of a head. Heads of many short lines take this much, a single long line
+ * takes one byte for each.
  */
 const MEMORY_PER_HEAD_BYTE = 10;
 
-/** What the kernel may have received on a connection that is not read while a response waits. */
+/** Bytes that the kernel may hold for a connection that is not read while its response is unsent. */
 const UNREAD_BYTES = 128 * 1024;
 
-/** Counts as received of each request, so that a connection that was just opened is not the slowest. */
+/** Bytes that each request is assumed to have sent already, so that a new connection is not the slowest. */
 const INITIAL_BYTES = 1_024;
 
 /**
@@ -79,7 +79,7 @@
 
 /**
  * @param record - a connection
- * @returns what it does
+ * @returns its state
  */
 export const stateOf = (record: ConnectionRecord): ConnectionState => {
   const isReading = isReadingBody(record);
@@ -89,8 +89,8 @@
 };
 
 /**
- * Estimates the memory that a connection holds for a client that has not sent or not read its part. Bodies
- * have a budget of their own.
+ * Estimates the memory that a connection takes for an incomplete head or an unread response. Bodies have a
+ * separate budget.
  *
  * @param record - a connection
  * @param maxHeaderBytes - maximum size of a request head, in bytes
--- a/packages/http/src/createRequestServer.ts
+++ b/packages/http/src/createRequestServer.ts
@@ -3,10 +3,10 @@
 import type { Socket } from 'node:net';
 import { ConnectionTable, INSPECTION_PERIOD_MS } from './ConnectionTable';
 import type { Protection } from './createProtection';
-import { announcedLengthOf, hasChunkedBody } from './requestEnd';
+import { contentLengthOf, hasChunkedBody } from './requestEnd';
 import type { RejectionReason } from './rejections';
 
-/** Period in which the runtime looks for heads whose time has passed, in milliseconds. */
+/** Period in which the runtime checks the timeouts of request heads, in milliseconds. */
 const HEAD_CHECK_PERIOD_MS = 1_000;
 
 const REASONS: Record<string, RejectionReason> = {
@@ -15,16 +15,16 @@
   ERR_HTTP_REQUEST_TIMEOUT: 'headTimeout',
 };
 
-/** Errors of clients that have left, of which some broke off a request. There is nobody to answer. */
+/** Errors of clients that have disconnected, some during a request. No response can reach them. */
 const DISCONNECTIONS = new Set(['ECONNRESET', 'EPIPE', 'ETIMEDOUT', 'HPE_INVALID_EOF_STATE']);
 
 const hasBody = (request: IncomingMessage): boolean =>
-  hasChunkedBody(request) || announcedLengthOf(request) > 0;
+  hasChunkedBody(request) || contentLengthOf(request) > 0;
 
 const toServerOptions = ({ limits }: Protection): ServerOptions => ({
   maxHeaderSize: limits.maxHeaderBytes,
   headersTimeout: limits.headerTimeoutMs,
-  // A slow body is within the limits as long as it goes on; the table closes it when it stops.
+  // A slow body is within the limits while bytes arrive; the table closes it when none do.
   requestTimeout: 0,
   connectionsCheckingInterval: HEAD_CHECK_PERIOD_MS,
 });
@@ -49,7 +49,7 @@
     { ...options, ...toServerOptions(protection) },
     (request, response) => {
       if (!table.begin(request, response)) return;
-      if (announcedLengthOf(request) > limits.maxBodyBytes) {
+      if (contentLengthOf(request) > limits.maxBodyBytes) {
         table.reject(request.socket, 'bodyTooLarge');
         return;
       }
@@ -64,7 +64,7 @@
     else table.reject(socket as Socket, REASONS[code] ?? 'malformed');
   });
   const timer = setInterval(() => {
-    // Sockets are read first: a process that was paused runs its timers before.
+    // After a pause of the process timers run first; the sockets must be read before the inspection.
     setImmediate(() => table.inspect());
   }, INSPECTION_PERIOD_MS);
   timer.unref();
--- a/packages/http/src/readBody.ts
+++ b/packages/http/src/readBody.ts
@@ -3,24 +3,24 @@
 import type { BodyBudget } from './BodyBudget';
 import { PagedBuffer } from './PagedBuffer';
 
-/** Incomplete bodies at one time from which they count as a crowd. */
-const CROWD = 32;
+/** Number of incomplete bodies from which bodies in small chunks are refused. */
+const MANY_BODIES = 32;
 
-/** Chunks after which the mean size of the chunks of a body counts. */
-const SAMPLED_CHUNKS = 1_024;
+/** Number of chunks of a body from which their mean size is checked. */
+const MIN_CHECKED_CHUNKS = 1_024;
 
 /**
- * Mean size of a chunk below which a body is refused in a crowd, in bytes. A chunk takes 2 us of processor
- * time whatever its size: a read of 64 kB with chunks of one byte takes 20 ms, in which all others wait.
+ * Mean size of a chunk below which a body is refused beside many others, in bytes. Each chunk takes about 2 us of
+ * processor time whatever its size, so bodies in tiny chunks delay all other requests.
  */
 const MIN_CHUNK_BYTES = 16;
 
-/** What became of a body. */
+/** Result of reading a body. */
 export type BodyResult =
   | { type: 'body'; text: string }
   /** It is longer than permitted. The rest was not read. */
   | { type: 'tooLarge' }
-  /** The budget of the process is spent, or it is short of time for the chunks. The rest was not read. */
+  /** The budget of the process is spent, or there are too many small chunks. The rest was not read. */
   | { type: 'noMemory' }
   /** The connection ended before the body did. */
   | { type: 'broken' };
@@ -39,7 +39,7 @@
 /**
  * Reads the body of a request. All bytes are released when it settles.
  *
- * @param request - the request; what follows is dropped if its body is not taken whole
+ * @param request - the request; the rest of its body is dropped if it is not read whole
  * @param bounds - bounds of the body
  * @returns the text of the body, or why there is none
  */
@@ -50,13 +50,13 @@
     const buffer = PagedBuffer.create(budget, () => finish({ type: 'noMemory' }));
     const announced = Number(request.headers?.['content-length']);
     let chunks = 0;
-    const isWasteful = () =>
-      chunks >= SAMPLED_CHUNKS &&
+    const hasTinyChunks = () =>
+      chunks >= MIN_CHECKED_CHUNKS &&
       buffer.length < chunks * MIN_CHUNK_BYTES &&
-      budget.holders >= CROWD;
+      budget.holders >= MANY_BODIES;
     const onData = (chunk: Buffer) => {
       chunks += 1;
-      if (isWasteful()) finish({ type: 'noMemory' });
+      if (hasTinyChunks()) finish({ type: 'noMemory' });
       else if (buffer.length + chunk.length > maxBytes) finish({ type: 'tooLarge' });
       else if (!buffer.append(chunk, chunk.length === announced)) finish({ type: 'noMemory' });
     };
@@ -65,7 +65,7 @@
     finish = (result) => {
       finish = () => undefined;
       request.off('data', onData).off('end', onEnd).off('error', onBreak).off('close', onBreak);
-      // What is still parsed must not be held, one object a chunk, until the connection is closed.
+      // Without a reader, the stream would keep one object for each further chunk until the connection is closed.
       if (result.type !== 'body') request.resume();
       buffer.release();
       resolve(result);
--- a/packages/http/src/requestEnd.ts
+++ b/packages/http/src/requestEnd.ts
@@ -17,20 +17,20 @@
 
 /**
  * @param request - a request
- * @returns the size of its body by its head, in bytes; 0 if the body is chunked
+ * @returns its Content-Length, in bytes; 0 if it has none
  */
-export const announcedLengthOf = ({ headers }: IncomingMessage): number =>
+export const contentLengthOf = ({ headers }: IncomingMessage): number =>
   Number(headers['content-length'] ?? 0);
 
 /**
  * @param request - a request
- * @returns true if its body ends where the body says, not where the head says
+ * @returns true if its body has a transfer coding, so that the head does not tell its size
  */
 export const hasChunkedBody = ({ headers }: IncomingMessage): boolean =>
   headers['transfer-encoding'] !== undefined;
 
 /**
- * Computes where a request ends in the bytes of its connection. What was read beyond is a part of the next.
+ * Computes where a request ends in the bytes of its connection. Bytes beyond belong to the next request.
  *
  * @param request - the request, of which the head was read
  * @param start - position at which it starts
@@ -43,6 +43,6 @@
   bytesRead: number,
 ): number => {
   if (hasChunkedBody(request)) return bytesRead;
-  const end = start + headSizeOf(request) + announcedLengthOf(request);
+  const end = start + headSizeOf(request) + contentLengthOf(request);
   return Math.abs(bytesRead - end) <= SPACE_TOLERANCE_BYTES ? bytesRead : end;
 };
--- a/packages/http/src/requestLimits.ts
+++ b/packages/http/src/requestLimits.ts
@@ -15,12 +15,11 @@
 /** Share of the memory that incomplete heads, and what clients do not read, may take by estimate. */
 const INCOMPLETE_MEMORY_SHARE = 0.15;
 
-/** Share of the memory that connections may take beside that. */
+/** Share of the memory that connections may take in addition. */
 const CONNECTION_MEMORY_SHARE = 0.15;
 
 /**
- * Memory of a connection without a request: a trial with 1,000 of them took 14 kB each, of which 5 kB
- * were in the heap.
+ * Memory of a connection without a request, about a third of it in the heap.
  */
 const CONNECTION_BYTES = 14 * 1024;
 
@@ -103,7 +102,7 @@
 const BASE_LIMITS = {
   maxBodyBytes: 262_144,
   maxHeaderBytes: 16_384,
-  // Counts also while a new connection is idle, for which operators publish 15 s to clients.
+  // Also applies to a new connection without a request, which may be idle for the 15 s that operators publish.
   headerTimeoutMs: 20_000,
   bodyTimeoutMs: 20_000,
   writeTimeoutMs: 5_000,
@@ -118,7 +117,7 @@
     ),
   );
 
-/** Settings that are absent must not replace what is derived. */
+/** Omits absent settings, which must not replace derived ones. */
 const omitAbsent = <T extends object>(settings: T): T =>
   Object.fromEntries(Object.entries(settings).filter(([, value]) => value !== undefined)) as T;
 
--- a/packages/protocol/src/InboundConnections.ts
+++ b/packages/protocol/src/InboundConnections.ts
@@ -12,18 +12,18 @@
 /** Period in which the connections are inspected for unread messages, in milliseconds. */
 const INSPECTION_PERIOD_MS = 500;
 
-/** Bytes waiting on one connection from which all are inspected before the period has passed. */
-const MANY_UNSENT_BYTES = 64 * 1024;
+/** Unsent bytes of one connection from which all connections are inspected before the period has passed. */
+const EARLY_INSPECTION_BYTES = 64 * 1024;
 
 /** Minimum time between two inspections, in milliseconds. */
 const MIN_INSPECTION_PERIOD_MS = 20;
 
-/** Time after which a process that reads nothing is given up, in milliseconds. */
+/** Time after which the connection of a process that reads nothing is closed, in milliseconds. */
 const UNREAD_TIMEOUT_MS = 5_000;
 
 const METHODS: ReadonlySet<string> = new Set(Object.keys(callSchemas));
 
-/** One connection that another process, or someone else, has opened. */
+/** A connection that was accepted on the port for other processes, whoever has opened it. */
 export type InboundConnection = {
   socket: Socket;
   /** True once a valid call has arrived. */
@@ -34,13 +34,13 @@
   unsentMs: number;
 };
 
-/** Limits of the connections, and who is told of those that are closed. */
+/** Limits of the connections, and the listener for those that are closed. */
 export type InboundLimits = PeerLimits & {
   onRejected: (reason: RejectionReason, address?: string) => void;
 };
 
 /**
- * Tells whether a message is a call of another process.
+ * Decides whether a message is a valid call, as only other processes send them.
  *
  * @param message - a parsed line
  * @returns true if its method exists and its parameters are valid
@@ -117,31 +117,32 @@
   }
 
   /**
-   * Notes that a message was written. Messages for one that reads nothing may pile up within a period.
+   * Handles the write of a message. Inspects the connections early if much is unsent, since messages for a process
+   * that does not read may accumulate within a period.
    *
    * @param connection - the connection
    */
-  noteWrite({ socket }: InboundConnection): void {
-    if (socket.writableLength < MANY_UNSENT_BYTES) return;
+  handleWrite({ socket }: InboundConnection): void {
+    if (socket.writableLength < EARLY_INSPECTION_BYTES) return;
     if (performance.now() - this.inspectedAt >= MIN_INSPECTION_PERIOD_MS) this.inspect();
   }
 
-  /** Closes the connections whose other end does not read what is sent to it. */
+  /** Closes the connections whose other end does not read its messages. */
   inspect(): void {
     const now = performance.now();
-    // A pause of the process, before which the other end may have read, counts as two periods at most.
+    // A pause of this process counts as two periods at most, since the other end may have read meanwhile.
     const elapsedMs = Math.min(now - this.inspectedAt, 2 * INSPECTION_PERIOD_MS);
     this.inspectedAt = now;
     let total = 0;
-    const behind = [...this.connections].filter((connection) => {
+    const unread = [...this.connections].filter((connection) => {
       const { writableLength } = connection.socket;
-      const isStuck = writableLength > 0 && writableLength >= connection.unsentBytes;
-      connection.unsentMs = isStuck ? connection.unsentMs + elapsedMs : 0;
+      const isBlocked = writableLength > 0 && writableLength >= connection.unsentBytes;
+      connection.unsentMs = isBlocked ? connection.unsentMs + elapsedMs : 0;
       connection.unsentBytes = writableLength;
       total += writableLength;
       return writableLength > 0;
     });
-    behind
+    unread
       .sort((left, right) => right.unsentBytes - left.unsentBytes)
       .forEach((connection) => {
         if (total <= this.limits.unsentBytes && connection.unsentMs <= UNREAD_TIMEOUT_MS) return;
@@ -156,7 +157,7 @@
    * @returns ends the inspections
    */
   startInspections(): () => void {
-    // Sockets are written to before an inspection that follows a pause of the process.
+    // After a pause of the process timers run first; the sockets must be written to before the inspection.
     const timer = setInterval(() => setImmediate(() => this.inspect()), INSPECTION_PERIOD_MS);
     timer.unref();
     return () => clearInterval(timer);
--- a/packages/protocol/src/LineAssembler.ts
+++ b/packages/protocol/src/LineAssembler.ts
@@ -12,8 +12,8 @@
 };
 
 /**
- * Collects the chunks of a connection and passes whole lines on. A line that arrives in many small chunks
- * costs no more time and memory than one that arrives at once.
+ * Collects the chunks of a connection and emits whole lines. A line that arrives in many small chunks takes
+ * about as much time and memory as one that arrives at once.
  */
 export class LineAssembler {
   private partial: PagedBuffer | undefined;
@@ -41,39 +41,39 @@
   }
 
   /**
-   * Adds what has arrived.
+   * Adds a chunk and emits the lines that it completes.
    *
    * @param chunk - the bytes
    */
   add(chunk: Buffer): void {
     if (this.isClosed) return;
     const end = chunk.lastIndexOf(NEWLINE) + 1;
-    if (end > 0) this.passOn(end === chunk.length ? chunk : chunk.subarray(0, end));
-    if (end < chunk.length) this.hold(end === 0 ? chunk : chunk.subarray(end));
+    if (end > 0) this.emitLines(end === chunk.length ? chunk : chunk.subarray(0, end));
+    if (end < chunk.length) this.keep(end === 0 ? chunk : chunk.subarray(end));
   }
 
-  /** Passes on what is left at the end of the connection. */
+  /** Emits the partial line at the end of the connection. */
   end(): void {
     const rest = this.partial?.toBytes();
     this.close();
     if (rest) this.onLines(rest);
   }
 
-  /** Gives the memory back. What arrives later is dropped. */
+  /** Releases the memory. Later chunks are dropped. */
   close(): void {
     this.isClosed = true;
     this.partial?.release();
     this.partial = undefined;
   }
 
-  private passOn(lines: Buffer): void {
+  private emitLines(lines: Buffer): void {
     const start = this.partial?.toBytes();
     this.partial?.release();
     this.partial = undefined;
     this.onLines(start ? Buffer.concat([start, lines]) : lines);
   }
 
-  private hold(chunk: Buffer): void {
+  private keep(chunk: Buffer): void {
     if (this.isClosed) return;
     const { maxBytes, budget } = this.bounds();
     this.partial ??= PagedBuffer.create(budget, () => this.overflow('noMemory'));
--- a/packages/protocol/src/tcp.ts
+++ b/packages/protocol/src/tcp.ts
@@ -43,7 +43,7 @@
   return message;
 };
 
-/** What depends on who has opened a connection. */
+/** Handling of lines, which differs between accepted and dialed connections. */
 type LineHandling = {
   /** Returns the bounds of the line that begins. */
   bounds: () => LineBounds;
@@ -55,7 +55,7 @@
   onOverflow: (reason: 'lineTooLong' | 'noMemory') => void;
 };
 
-/** The processes that this one calls are known from the store. */
+/** Dialed processes are known from the store, so their connections are trusted. */
 const DIALED: LineHandling = {
   bounds: () => DIALED_BOUNDS,
   onMessage: () => undefined,
@@ -178,7 +178,7 @@
         onMessage: (message) => {
           connection.isKnown ||= isValidCall(message);
         },
-        onWrite: () => connections.noteWrite(connection),
+        onWrite: () => connections.handleWrite(connection),
         onOverflow: (reason) => connections.reject(connection, reason),
       });
     });
