--- a/marjorammast-app/src/local/DispatchDeployment.ts
+++ b/marjorammast-app/src/local/DispatchDeployment.ts
@@ -85,7 +85,7 @@
 /** Options of `node` for each program, such as `--max-old-space-size=160`. */
 export type NodeOptions = Partial<Record<'dispatchEntry' | 'gateAgent', readonly string[]>>;
 
-/** In what a deployment differs from the usual one. */
+/** Differences of a deployment from the default one. */
 export type DeploymentOptions = {
   /** Returns the addresses at which the processes reach each other. */
   resolveAddress?: AddressResolver;
@@ -132,7 +132,7 @@
    *
    * @param entryCount - number of entries
    * @param workerCount - number of workers, each with an agent
-   * @param options - in what the deployment differs from the usual one
+   * @param options - differences from the default deployment
    * @returns the running deployment
    * @throws Error when the deployment is not ready in time
    */
--- a/marjorammast-app/src/protectPorts.ts
+++ b/marjorammast-app/src/protectPorts.ts
@@ -4,10 +4,10 @@
 import { createLimitedWarning } from '@marjorammast/telemetry';
 import type { Log, PrometheusMetrics } from '@marjorammast/telemetry';
 
-/** What the settings of a daemon say about its clients. */
+/** Settings of a daemon from which its limits are derived. */
 type ProtectionSettings = Resources & { limits?: LimitSettings };
 
-/** Bounds of what others can make a process hold, for each of its ports. */
+/** Protection of the ports of a process from excessive use of memory and descriptors. */
 export type PortProtections = {
   /** Protects a port for clients. */
   main: (port: string) => Protection;
@@ -32,12 +32,12 @@
 };
 
 /**
- * Creates the bounds of all ports of a daemon. The ports share one budget for incomplete bodies.
+ * Creates the protection of all ports of a daemon. The ports share one budget for incomplete bodies.
  *
  * @param settings - settings of the daemon
  * @param log - receives a limited number of lines for each reason of a rejection
  * @param metrics - receives the counter of rejections
- * @returns the bounds
+ * @returns the protection of each port
  */
 export const protectPorts = (
   settings: ProtectionSettings,
--- a/marjorammast-app/src/soak/Soak.ts
+++ b/marjorammast-app/src/soak/Soak.ts
@@ -10,12 +10,12 @@
 import { SoakChecker } from './SoakChecker';
 import { SoakClients } from './SoakClients';
 
-/** Processor time that the first entry is told to have, in cores: so little that it forwards most of its jobs. */
-const WEAK_ENTRY_CORES = 0.02;
+/** Processor time in the settings of the first entry, in cores; so little that it forwards most of its jobs. */
+const OVERLOADED_ENTRY_CORES = 0.02;
 
 const createForwardingSettings = (entry: number): object => ({
   forwarding: { highUtilization: 0.7, lowUtilization: 0.5, maxPeers: 2 },
-  ...(entry === 0 ? { processorCores: { cores: WEAK_ENTRY_CORES } } : {}),
+  ...(entry === 0 ? { processorCores: { cores: OVERLOADED_ENTRY_CORES } } : {}),
 });
 
 /** Parameters of a soak test. */
--- a/marjorammast-app/tests/protectPorts.test.ts
+++ b/marjorammast-app/tests/protectPorts.test.ts
@@ -16,7 +16,7 @@
     expect(budget.limitBytes).toBe(1_000_000);
   });
 
-  // Guards against a log that a crowd fills, and against a reason that hides behind a more frequent one.
+  // Guards against a log that untrusted clients fill, and against a reason that a more frequent one suppresses.
   it('counts each rejection, and logs a bounded number of lines for each reason', async () => {
     const { lines, metrics, ports } = create({});
     const { onRejected } = ports.main('clients');
--- a/packages/gate/src/AdmissionQueue.ts
+++ b/packages/gate/src/AdmissionQueue.ts
@@ -29,8 +29,8 @@
 };
 
 /**
- * What is to be done with the first waiting task that has room: start it, leave it, or give it back. A task
- * that needs `room` keeps the room before it from the tasks behind it; one that waits for something else does not.
+ * Decision on a waiting task: start it, leave it in the queue, or give it back. A task that waits for room keeps
+ * the free resources from the tasks behind it; one that waits for something else does not.
  */
 export type StartDecision<R> =
   { type: 'start' } | { type: 'waitForRoom' } | { type: 'wait' } | { type: 'giveBack'; reason: R };
@@ -40,8 +40,8 @@
 
 /**
  * The tasks that wait at an agent. Load pattern: entries with old views of the free resources send more tasks
- * than fit. Declined tasks came again after a pause, so that whoever asked at the right moment got the room,
- * and room was idle until someone asked. Here they wait for a short time and start in the order of their urgency.
+ * than fit. If these were declined and sent again after a pause, free resources would stay idle meanwhile and
+ * go to tasks regardless of urgency. Here they wait for a short time and start in the order of their urgency.
  *
  * Holds no sockets and no timers; the caller passes the time.
  */
@@ -106,11 +106,11 @@
   }
 
   /**
-   * Finds the tasks that find no place.
+   * Finds the tasks for which the queue is full.
    *
    * @param needs - resources that a typical task needs
    * @param capacity - capacity of the worker
-   * @returns the priority from which a task displaces none; `undefined` when there is place for all
+   * @returns the priority from which a task finds no place; `undefined` when there is place for all
    */
   fullFor(needs: Resources, capacity: Resources): number | undefined {
     const limit = scaleResources(capacity, QUEUE_CAPACITY_SHARE);
@@ -119,9 +119,9 @@
   }
 
   /**
-   * Adds a task if the waiting tasks then need at most a part of the capacity, or if it is the only one. When
-   * the queue is full, less urgent tasks give way to it, and among those of equal priority the last ones of the
-   * entry that has most tasks waiting.
+   * Adds a task if the waiting tasks then need at most a part of the capacity, or if it is the only one. When the
+   * queue is full, tasks of lower priority are displaced by it, and among those of equal priority the last ones
+   * of the entry that has most tasks waiting.
    *
    * @param task - the task
    * @param capacity - capacity of the worker
@@ -148,8 +148,8 @@
   }
 
   /**
-   * Goes through the waiting tasks in their order and removes those that start or are given back. A task that
-   * does not fit keeps the room from those behind it, so that large tasks do not starve behind small ones.
+   * Decides on the waiting tasks in their order and removes those that start or are given back. A task that does
+   * not fit keeps the free resources from those behind it, so that large tasks do not starve behind small ones.
    *
    * @param free - free resources of the worker
    * @param decide - decides on a task, with the resources that are left for it
@@ -188,7 +188,7 @@
     return removed.map(({ item }) => item);
   }
 
-  /** Finds the task that gives way to a new one, if there is one. */
+  /** Finds the task that a new one displaces, if there is one. */
   private static findVictim<T>(
     tasks: readonly WaitingTask<T>[],
     { priority, ownerId }: WaitingTask<T>,
--- a/packages/gate/src/EntryConnections.ts
+++ b/packages/gate/src/EntryConnections.ts
@@ -178,7 +178,7 @@
       if (connection.pendingEnds.length === 0) setImmediate(() => this.sendEnds(connection));
       connection.pendingEnds.push([run.task.job, run.task.index, run.run, how, Math.round(ms)]);
     }
-    // A task that only waited has left no room behind.
+    // A task that was only queued has freed no resources.
     if (how !== 'unqueued') this.notifyDeclined();
   }
 
--- a/packages/gate/src/QueuedStarts.ts
+++ b/packages/gate/src/QueuedStarts.ts
@@ -23,7 +23,7 @@
 export type UnqueuedReason =
   DeclineReason | 'displaced' | 'expired' | 'abandoned' | 'entryLost' | 'workerLost';
 
-/** What the entries are told of the queue. */
+/** State of the queue as it is reported to the entries. */
 export type QueueReport = Pick<WorkerView, 'queueMs' | 'queueFullFor'>;
 
 /** State of the worker as the queue sees it. */
@@ -40,7 +40,7 @@
   free: () => Resources;
   /** Decides on an assignment anew, with the free resources that are left for it. */
   admit: (assignment: Assignment, free: Resources) => Admission;
-  /** Tells whether an entry has not been silent for so long that its runs are stopped. */
+  /** False once an entry has been silent for so long that its runs are stopped. */
   isHeard: (ownerId: string) => boolean;
   start: (queued: QueuedStart) => void;
   /** Called with each task that is given back after `ms`; it has not been sent to the worker. */
@@ -49,14 +49,14 @@
 };
 
 const urgencyOf = ({ priority = Infinity, objectiveInMs = 0 }: Assignment): Urgency => ({
-  // Entries that queue nothing name no priority: the tasks of others that wait come first.
+  // Entries that queue nothing send no priority, so that waiting tasks of others come first.
   priority,
   objectiveAt: performance.now() + objectiveInMs,
 });
 
 /**
- * The tasks that wait at an agent, with the timer and the checks that go with them. While none waits, there is
- * no timer.
+ * The queue of tasks at an agent with its expiry timer, and the checks before a task starts. There is no timer
+ * while no task waits.
  */
 export class QueuedStarts {
   private readonly queue = AdmissionQueue.create<QueuedStart>();
@@ -65,7 +65,7 @@
 
   private expiryTimer: NodeJS.Timeout | undefined;
 
-  /** True once an entry has asked to queue tasks: until then the entries get no estimates. */
+  /** True once an entry has asked to queue tasks; until then the queue is not reported. */
   private isInUse = false;
 
   private constructor(private readonly host: QueuedStartsHost) {}
@@ -88,13 +88,13 @@
     return this.queue.owners;
   }
 
-  /** Resources that are not kept for waiting tasks, as the entries are told. */
+  /** Free resources that are not kept for waiting tasks, as they are reported to the entries. */
   get free(): Resources {
     const free = this.host.free();
     return this.size === 0 ? free : withoutDeficits(subtractResources(free, this.queue.needs));
   }
 
-  /** What the entries are told of the queue: for a task that needs as much as the mean of the runs. */
+  /** Report of the queue, for a task that needs as much as a run does on average. */
   get report(): QueueReport {
     if (!this.isInUse) return {};
     const { runs, capacity, slowness } = this.host.worker();
@@ -135,7 +135,7 @@
     const { isSuspect, maxQueueMs = 0 } = assignment;
     if (maxQueueMs <= 0) return [];
     this.isInUse = true;
-    // A suspected task starts apart from others, which a queue cannot promise.
+    // A suspected task must start apart from others, which a queue cannot guarantee.
     if (isSuspect) return [];
     const waitMs = Math.min(maxQueueMs, MAX_QUEUE_MS, MAX_ASSIGNMENT_AGE_MS - ageMs);
     const queued = runs.filter(([index, run]) =>
@@ -145,11 +145,11 @@
     return queued.map(([index]) => index);
   }
 
-  /** Has the queue looked through after the current poll of the sockets, if tasks are waiting. */
+  /** Schedules the decisions on the waiting tasks after the current poll of the sockets. */
   schedule(): void {
     if (this.isServing || this.size === 0) return;
     this.isServing = true;
-    // After a pause of the process, the entries are heard before tasks of theirs are started.
+    // After a pause of the process, messages of the entries are read before their tasks start.
     setImmediate(() => {
       this.isServing = false;
       this.serve();
@@ -166,7 +166,7 @@
     if (this.size === 0) return;
     const removed = this.queue.remove(({ item }) => isUnwanted(item));
     removed.forEach((queued) => this.unqueue(queued, reason));
-    // The room that was kept for them may do for others.
+    // The room that was kept for them may be enough for others.
     this.schedule();
   }
 
@@ -215,7 +215,7 @@
     this.scheduleExpiry();
   }
 
-  /** Decides on a waiting task. All that it could have been admitted on is looked at again. */
+  /** Decides on a waiting task. All conditions of its admission are checked again. */
   private decide(
     { item, expiresAt, ownerId }: WaitingTask<QueuedStart>,
     rest: Resources,
--- a/packages/gate/src/constants.ts
+++ b/packages/gate/src/constants.ts
@@ -101,8 +101,8 @@
 export const UNSETTLED_START_RETENTION_MS = 60_000;
 
 /**
- * Longest time for which a task waits at the agent, in milliseconds. It leaves time for the way of the
- * assignment within {@link MAX_ASSIGNMENT_AGE_MS}.
+ * Longest time for which a task waits at the agent, in milliseconds. It leaves time for the transfer of
+ * the assignment within {@link MAX_ASSIGNMENT_AGE_MS}.
  */
 export const MAX_QUEUE_MS = 200;
 
--- a/packages/gate/src/estimateQueueWait.ts
+++ b/packages/gate/src/estimateQueueWait.ts
@@ -9,8 +9,8 @@
 const MIN_PERCENT = 20;
 
 /**
- * Part of its age for which a run past its expected end is expected to go on. Few runs take several times their
- * estimate, so a run that is late by much is expected to go on for longer.
+ * Expected remaining time of a run past its expected end, as a part of its age. The few runs that take several times
+ * their estimate are expected to go on for longer the older they are.
  */
 const OVERDUE_SHARE = 1 / 4;
 
@@ -59,8 +59,8 @@
 };
 
 /**
- * Estimates how long a task would wait that is queued now. Load pattern: all workers are full, and an entry
- * chooses the queue in which a task starts first.
+ * Estimates how long a task that is queued now would wait. Load pattern: all workers are full, and entries choose
+ * the queues in which their tasks start first.
  *
  * @param state - state of the worker and the queue
  * @param now - monotonic time, in milliseconds
--- a/packages/gate/src/robustSlowness.ts
+++ b/packages/gate/src/robustSlowness.ts
@@ -5,8 +5,8 @@
 const RECENT_RUNS = 32;
 
 /**
- * Runs of slowness 1 that a worker is taken to have had before its first one. Without them a single long first run
- * would make the worker look so slow that it got no others. They have no influence after six runs.
+ * Number of runs of slowness 1 that a worker is assumed to have had before its first one. Without them, a single long
+ * first run would make the worker look too slow to get others. They have no influence after six runs.
  */
 const ASSUMED_RUNS = 2;
 
@@ -28,8 +28,8 @@
 
 /**
  * Measures the slowness with the middle half of the recent runs. Load pattern: a few runs take several times their
- * estimate. They stay on their worker for long, so that up to a third of its present runs may be such; neither these
- * nor the finished ones say how fast the worker is.
+ * estimate. Since they last longer than others, up to a third of a worker's present runs may be such. They do not
+ * show how fast the worker is.
  */
 export const robustSlowness: SlownessMeasure = {
   createLearner: () => {
--- a/packages/http/tests/BodyBudget.test.ts
+++ b/packages/http/tests/BodyBudget.test.ts
@@ -24,7 +24,7 @@
     expect(budget).toMatchObject({ heldBytes: 0, holders: 0 });
   });
 
-  // Guards against a crowd of large bodies that shuts out ordinary small ones.
+  // Guards against many large bodies that shut out ordinary small ones.
   it('closes the holder with the most bytes', () => {
     const { evicted, holders } = createHolders(['small', 'large', 'new']);
     const [small, large, next] = holders;
--- a/packages/http/tests/createRequestServer.test.ts
+++ b/packages/http/tests/createRequestServer.test.ts
@@ -225,7 +225,7 @@
       expect(third?.socket.destroyed).toBe(false);
     });
 
-    // Guards against a crowd of unfinished requests that shuts out all others.
+    // Guards against many incomplete requests that shut out all others.
     it('closes the incomplete request that has made the least progress, with 503', async () => {
       await serve({ maxConnections: 2 });
       const [stopped] = await openMany(1, `${POST_HEAD}Content-Length: 50000\r\n\r\n`);
--- a/packages/protocol/src/dispatchMessages.ts
+++ b/packages/protocol/src/dispatchMessages.ts
@@ -10,11 +10,11 @@
   accelerators: z.number().nonnegative(),
 });
 
-/** What an agent tells of its queue. Absent while no entry has asked to queue tasks, and from agents without one. */
+/** Report of an agent's queue. Absent while no entry has asked to queue tasks, and from agents without a queue. */
 const queueFields = {
   /** Estimated time until a task that is queued at the agent now would start, in milliseconds. */
   queueMs: z.number().nonnegative().optional(),
-  /** Tasks of routes with this priority and less urgent ones find no place; absent: there is place for all. */
+  /** Tasks of routes with this priority or a less urgent one find no place; absent: there is place for all. */
   queueFullFor: z.number().optional(),
 };
 
--- a/packages/protocol/src/forwardMessages.ts
+++ b/packages/protocol/src/forwardMessages.ts
@@ -56,7 +56,7 @@
   'stale',
 ]);
 
-/** Load of an entry, as it tells other entries. */
+/** Load of an entry, as it is reported to other entries. */
 export const entryLoadSchema = z.object({
   /** Part of its processor time that is in use, from 0 to 1. */
   utilization: z.number().nonnegative(),
--- a/packages/protocol/tests/inbound.test.ts
+++ b/packages/protocol/tests/inbound.test.ts
@@ -80,7 +80,7 @@
     expect(rejections).toEqual(['lineTooLong']);
   });
 
-  // Guards against a crowd of unknown clients that cuts off the real processes.
+  // Guards against many unknown clients that cut off the real processes.
   it('bounds the partial lines of all unknown connections, not at the cost of real peers', async () => {
     await serve({ unknownLineBytes: 200_000 });
     const peer = await open(CALL);
