--- a/packages/dispatch/tests/declinedJob.test.ts
+++ b/packages/dispatch/tests/declinedJob.test.ts
@@ -1,7 +1,7 @@
 import type { Link, Result } from '@marjorammast/protocol';
 import { createLog } from '@marjorammast/telemetry';
 import { DispatchEntry } from '../src/DispatchEntry';
-import { MARKS, connect, createServer } from './forwardingSupport';
+import { THRESHOLDS, connect, createServer } from './forwardingSupport';
 import { createTestJob, testRoute } from './support';
 
 const LOAD = { utilization: 0.1, processorCores: 1, accepts: true };
@@ -48,7 +48,7 @@
       log: createLog('entry', 'silent'),
       meter: { answered: jest.fn() },
       forwarding: {
-        ...MARKS,
+        ...THRESHOLDS,
         maxPeers: 1,
         processorCores: 1,
         readUsage: () => ({ activeMs: performance.now(), idleMs: 0, processorMs: 0 }),
