--- a/marjorammast-app/tests/untrustedClients.test.ts
+++ b/marjorammast-app/tests/untrustedClients.test.ts
@@ -35,7 +35,7 @@
 /** The options with which the platform starts the daemons in these VMs. */
 const NODE_OPTIONS = {
   dispatchEntry: ['--max-old-space-size=160'],
-  gateAgent: ['--max-old-space-size=96'],
+  gateAgent: ['--max-old-space-size=96', '--max-semi-space-size=1'],
 };
 
 const KB_PER_MB = 1_024;
