--- a/packages/settings/src/daemonSettings.ts
+++ b/packages/settings/src/daemonSettings.ts
@@ -46,6 +46,15 @@
 
 const positive = z.number().int().positive();
 
+/**
+ * Accepts a number as text too, and an empty text as absent: templates fill in what a deployment does not state with nothing.
+ */
+const fromTemplate = <T extends z.ZodType>(schema: T) =>
+  z.preprocess((value) => {
+    if (value === '') return undefined;
+    return typeof value === 'string' ? Number(value) : value;
+  }, schema);
+
 /** Head timeout that operators publish to clients, in milliseconds. */
 const PUBLISHED_HEADER_TIMEOUT_MS = 3_000;
 
@@ -82,8 +91,10 @@
   store: address.describe("Address of the platform's store."),
   stopTimeoutMs: commonSettings.stopTimeoutMs,
   limits: limitSettings.optional().describe('Bounds of what clients can make the process hold.'),
-  memoryMb: z.number().positive().optional().describe('Memory of the VM, in MB.'),
-  maxDescriptors: positive.optional().describe('File descriptors that the process may open.'),
+  memoryMb: fromTemplate(z.number().positive().optional()).describe('Memory of the VM, in MB.'),
+  maxDescriptors: fromTemplate(positive.optional()).describe(
+    'File descriptors that the process may open.',
+  ),
 };
 
 const utilization = z.number().gt(0).lt(1);
@@ -120,8 +131,10 @@
     .describe('Forwarding of jobs between entries; without it jobs are not forwarded.'),
   processorCores: z
     .strictObject({
-      cores: z.number().positive().describe('Number of cores of the VM.'),
-      share: z.number().positive().default(1).describe('Part of them that is available.'),
+      cores: fromTemplate(z.number().positive().default(1)).describe('Number of cores of the VM.'),
+      share: fromTemplate(z.number().positive().default(1)).describe(
+        'Part of them that is available.',
+      ),
     })
     .default({ cores: 1, share: 1 })
     .describe('Processor time that the process may use, as cores times share.'),
