Tests of forwarding: the log line of the submitted job tells that it was forwarded

They took the newest job_forwarded line for the job just sent; its own line is written some time later, so that a job that the sender ran itself was taken for a forwarded one and got 200. The receiver stayed paused then, and the next test failed with it. Change: the line of that job is asked for, without a decline; its runs are awaited instead of expected after 60 ms.

--- a/marjorammast-app/tests/forwarding.test.ts
+++ b/marjorammast-app/tests/forwarding.test.ts
@@ -56,11 +56,11 @@
     await deployment.waitUntil('a long job forwarded', async () => {
       answer = submit(3_000).catch(() => undefined);
       await sleep(60);
-      const [last] = logOf(0)
+      const lines = logOf(0)
         .split('\n')
-        .reverse()
-        .filter((line) => line.includes('job='));
-      return last?.includes('event=job_forwarded') ?? false;
+        .filter((line) => line.includes(`job=${idOf(nextId)}`));
+      const isDeclined = lines.some((line) => line.includes('event=forward_declined'));
+      return !isDeclined && lines.some((line) => line.includes('event=job_forwarded'));
     });
     return { answer };
   };
@@ -75,7 +75,7 @@
   it('answers 504 when the receiver is paused, whose runs end', async () => {
     const { answer } = await forwardLong();
     const id = idOf(nextId);
-    expect(countActiveRuns(id)).toBe(2);
+    await deployment.waitUntil('its runs started', async () => countActiveRuns(id) === 2);
     const receiver = deployment.entries[1]?.process;
     receiver?.kill('SIGSTOP');
     expect((await answer)?.status).toBe(504);
