--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -392,6 +392,7 @@
   }
 
   private recordRunTime({ name }: Route, agent: string, ms: number): void {
+    if (!this.scarcePlacement.isOn) return;
     const view = this.host.findConnection(agent)?.view;
     if (view) this.scarcePlacement.recordRun(name, ms, view.slowness);
   }
--- a/packages/dispatch/src/PeerClient.ts
+++ b/packages/dispatch/src/PeerClient.ts
@@ -11,10 +11,10 @@
 import { ATTACH_TIMEOUT_MS } from './constants';
 
 /**
- * Rows of the first message on a connection. Until a valid message has arrived, the other entry takes lines of
- * 256 KiB only, and 4 MiB afterwards.
+ * Maximum number of rows in the first message on a connection. Until a valid message has arrived, the other entry
+ * takes lines of 256 KiB only, and 4 MiB afterwards.
  */
-const FIRST_ROWS = 500;
+const MAX_FIRST_MESSAGE_ROWS = 500;
 
 /** Dependencies of a peer client. */
 export type PeerClientOptions = {
@@ -64,8 +64,8 @@
     const peer = this.peers.find((other) => other.name === name);
     if (!peer) return;
     try {
-      const first = bound.slice(0, FIRST_ROWS);
-      const rest = bound.slice(FIRST_ROWS);
+      const first = bound.slice(0, MAX_FIRST_MESSAGE_ROWS);
+      const rest = bound.slice(MAX_FIRST_MESSAGE_ROWS);
       await this.call(peer, 'bound', [
         { bound: first },
         ...(rest.length > 0 ? [{ bound: rest }] : []),
--- a/packages/dispatch/src/RouteRunTimes.ts
+++ b/packages/dispatch/src/RouteRunTimes.ts
@@ -8,7 +8,8 @@
 const MAX_RATIO = 2;
 
 /**
- * Ratio of a task's run time to the client's estimate that is assumed while the run times of its route are unknown. Clients' estimates are up to 40 % off.
+ * Ratio of a task's run time to the client's estimate that is assumed while the run times of its route are unknown. An
+ * estimate that is too short would place the task on a worker on which it ends late.
  */
 const UNKNOWN_RUN_TIME_FACTOR = 1.7;
 
--- a/packages/dispatch/src/WorkerRooms.ts
+++ b/packages/dispatch/src/WorkerRooms.ts
@@ -1,7 +1,7 @@
-import { countFitting, fits, scaleResources } from '@marjorammast/protocol';
+import { QUEUE_CAPACITY_SHARE, countFitting, fits, scaleResources } from '@marjorammast/protocol';
 import type { Resources, WorkerView } from '@marjorammast/protocol';
 import type { AgentConnection } from './AgentConnection';
-import { EQUAL_SLOWNESS_FACTOR, QUEUE_CAPACITY_SHARE } from './constants';
+import { EQUAL_SLOWNESS_FACTOR } from './constants';
 import type { Step } from './job';
 import type { Candidate, Placement } from './placeTasks';
 import type { QueueCandidate } from './placeWaitingTasks';
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -182,8 +182,5 @@
  */
 export const JOB_COST_MS = 4;
 
-/** Part of a worker's capacity that the tasks waiting at its agent may need together. */
-export const QUEUE_CAPACITY_SHARE = 1 / 4;
-
 /** Time for which an agent's queue counts as full after the agent has reported it, in milliseconds. */
 export const FULL_QUEUE_RETENTION_MS = 120;
--- a/packages/gate/src/AdmissionQueue.ts
+++ b/packages/gate/src/AdmissionQueue.ts
@@ -1,5 +1,6 @@
 import {
   NO_RESOURCES,
+  QUEUE_CAPACITY_SHARE,
   addResources,
   fits,
   scaleResources,
@@ -7,7 +8,6 @@
   withoutDeficits,
 } from '@marjorammast/protocol';
 import type { Resources } from '@marjorammast/protocol';
-import { QUEUE_CAPACITY_SHARE } from './constants';
 
 /** Urgency of a task, compared over all entries. */
 export type Urgency = {
--- a/packages/gate/src/constants.ts
+++ b/packages/gate/src/constants.ts
@@ -105,6 +105,3 @@
  * the assignment within {@link MAX_ASSIGNMENT_AGE_MS}.
  */
 export const MAX_QUEUE_MS = 200;
-
-/** Part of the worker's capacity that the waiting tasks may need together. */
-export const QUEUE_CAPACITY_SHARE = 1 / 4;
--- a/packages/protocol/src/constants.ts
+++ b/packages/protocol/src/constants.ts
@@ -60,3 +60,6 @@
  * shortest that Node.js can set, and shorter than the pause before a client sends its job again.
  */
 export const CLIENT_PROBE_MS = 1_000;
+
+/** Part of a worker's capacity that the tasks waiting at its agent may need together. */
+export const QUEUE_CAPACITY_SHARE = 1 / 4;
