--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -10,18 +10,10 @@
 import { createLimitedWarning } from '@marjorammast/telemetry';
 import type { Log } from '@marjorammast/telemetry';
 import { ActiveJob } from './ActiveJob';
-import { AgentConnection } from './AgentConnection';
-import type { AgentConnectionHost } from './AgentConnection';
+import { AgentConnections } from './AgentConnections';
 import { BoundTaskNotices } from './BoundTaskNotices';
-import {
-  BOUND_NOTICE_WAIT_MS,
-  DEADLINE_MARGIN_MS,
-  DIALS_AT_ONCE,
-  DIAL_INTERVAL_MS,
-  MIN_RETRY_AFTER_MS,
-} from './constants';
+import { BOUND_NOTICE_WAIT_MS, DEADLINE_MARGIN_MS, MIN_RETRY_AFTER_MS } from './constants';
 import { CrashController } from './CrashController';
-import { chooseAgents, createAgentRanking } from './chooseAgents';
 import { Dispatcher } from './Dispatcher';
 import { findRoute } from './findRoute';
 import { Forwarding } from './Forwarding';
@@ -94,15 +86,11 @@
   /** Answers the calls of agents and of other entries. */
   readonly server: CallServer;
 
-  private readonly connections = new Map<string, AgentConnection>();
+  private readonly connections: AgentConnections;
 
   /** Jobs that have not ended. */
   private readonly jobs = new Map<string, AcceptedJob>();
 
-  private readonly rankOf: (agent: string) => string;
-
-  private registeredAgents: readonly RegisteredProcess[] = [];
-
   private operatorState: OperatorState | undefined;
 
   private rules: AdmissionRules = { revision: 0, outDataCenters: [] };
@@ -130,16 +118,16 @@
   private constructor(private readonly options: DispatchEntryOptions) {
     this.forwarding = options.forwarding && this.createForwarding(options.forwarding);
     this.server = this.createServer();
-    this.rankOf = createAgentRanking(options.name);
     this.crashes = CrashController.create({
       findJob: (id) => this.jobs.get(id)?.job,
       findRoute: (name) => this.operatorState?.routes.find((route) => route.name === name),
       log: options.log,
     });
+    this.connections = this.createConnections();
     this.dispatcher = Dispatcher.create({
       dataCenter: options.dataCenter,
       connections: () => this.connections.values(),
-      findConnection: (agent) => this.connections.get(agent),
+      findConnection: (agent) => this.connections.find(agent),
       evacuatedDataCenters: () => this.rules.outDataCenters,
       crashRecords: this.crashes.records,
       confinement: this.crashes.confinement,
@@ -182,12 +170,12 @@
 
   /** Number of agents that are attached. */
   get attachedAgents(): number {
-    return [...this.connections.values()].filter(({ view }) => view).length;
+    return this.connections.attachedCount;
   }
 
   /** Number of attached agents whose workers are in the state `open`. */
   get openWorkers(): number {
-    return [...this.connections.values()].filter(({ view }) => view?.state === 'open').length;
+    return this.connections.openWorkers;
   }
 
   /** True once the operator state is known. */
@@ -239,8 +227,7 @@
    * @param agents - all agents registered in the store
    */
   updateAgents(agents: readonly RegisteredProcess[]): void {
-    this.registeredAgents = agents;
-    this.chooseAgents();
+    this.connections.updateAgents(agents);
   }
 
   /**
@@ -339,7 +326,7 @@
     this.dispatcher.halt();
     this.boundTaskNotices.halt();
     this.forwarding?.halt();
-    this.connections.forEach((connection) => connection.close());
+    this.connections.closeAll();
   }
 
   private async answerRemainingJobs(): Promise<void> {
@@ -383,14 +370,11 @@
   /** Tells why this entry can't run jobs of other entries. */
   private findObstacle({ service }: Route): 'stopping' | 'workers' | undefined {
     if (this.isDraining) return 'stopping';
-    const views = [...this.connections.values()].map(({ view }) => view);
-    const hasWorkers = views.some((view) => view?.service === service && view.state !== 'closed');
-    return hasWorkers ? undefined : 'workers';
+    return this.connections.hasWorkersOf(service) ? undefined : 'workers';
   }
 
   private createServer(): CallServer {
-    const findByLink = (link: Link) =>
-      [...this.connections.values()].find((connection) => connection.usesLink(link));
+    const findByLink = (link: Link) => this.connections.findByLink(link);
     return createCallServer(
       {
         view: (view, link) => {
@@ -432,8 +416,7 @@
   private applyRules(rules: AdmissionRules): void {
     if (rules.revision <= this.rules.revision) return;
     this.rules = rules;
-    this.connections.forEach((connection) => connection.sendRules(rules));
-    this.chooseAgents();
+    this.connections.applyRules(rules);
     this.forwarding?.sender.updatePeers(this.registeredPeers, rules.outDataCenters);
     this.dispatcher.schedulePass();
   }
@@ -559,58 +542,29 @@
     else job.settle({ type: 'refused', reason: 'noRoom', retryAfterMs: MIN_RETRY_AFTER_MS });
   }
 
-  private chooseAgents(): void {
-    const { dataCenter } = this.options;
-    this.updateConnections(
-      chooseAgents(this.registeredAgents, this.rankOf, dataCenter, this.rules.outDataCenters),
-    );
-  }
-
-  private updateConnections(chosen: readonly RegisteredProcess[]): void {
-    const names = new Set(chosen.map(({ name }) => name));
-    this.connections.forEach((connection, name) => {
-      // A working connection is kept, even when the agent is no longer registered in the store.
-      if (names.has(name) || connection.view) return;
-      connection.close();
-      this.connections.delete(name);
-      this.crashes.forgetAgent(name);
-    });
-    chosen
-      .filter(({ name, address }) => this.connections.get(name)?.agent.address !== address)
-      .forEach((agent, index) => this.connectTo(agent, index));
-  }
-
-  /**
-   * Connects to an agent. After a start the entry first connects to some agents, so that it serves its
-   * first jobs before it has connected to all.
-   *
-   * @param agent - the agent
-   * @param index - number of agents to which the entry connects before it
-   */
-  private connectTo(agent: RegisteredProcess, index: number): void {
-    this.connections.get(agent.name)?.close();
-    const { name, dial, random, log } = this.options;
-    const delayMs = Math.max(0, index + 1 - DIALS_AT_ONCE) * DIAL_INTERVAL_MS;
-    const host: AgentConnectionHost = {
+  private createConnections(): AgentConnections {
+    const { name, dataCenter, dial, random, log } = this.options;
+    return AgentConnections.create({
       entry: name,
+      dataCenter,
       dial: (address) => dial(address, this.server),
       rules: () => this.rules,
-      hasRuns: (agentName) => this.dispatcher.hasRuns(agentName),
-      onChange: (agentName, view) => {
-        if (view.state !== 'closed') this.crashes.handleReturn(agentName, view.incarnation);
-        this.dispatcher.releaseTasks(agentName, view.incarnation);
+      hasRuns: (agent) => this.dispatcher.hasRuns(agent),
+      onChange: (agent, view) => {
+        if (view.state !== 'closed') this.crashes.handleReturn(agent, view.incarnation);
+        this.dispatcher.releaseTasks(agent, view.incarnation);
         this.dispatcher.schedulePass();
       },
-      onLost: (agentName, knowledge) => this.dispatcher.handleAgentLoss(agentName, knowledge),
+      onLost: (agent, knowledge) => this.dispatcher.handleAgentLoss(agent, knowledge),
+      onForgotten: (agent) => this.crashes.forgetAgent(agent),
       onCrash: (crash) => this.crashes.handleCrash(crash),
-      onUnsettled: (agentName, tasks) => this.dispatcher.bindTasks(agentName, tasks),
+      onUnsettled: (agent, tasks) => this.dispatcher.bindTasks(agent, tasks),
       onRules: (rules) => {
         this.applyRules(rules);
         void this.catchUp(rules.revision);
       },
       random,
       log,
-    };
-    this.connections.set(agent.name, AgentConnection.create(agent, host, delayMs));
+    });
   }
 }
