--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -491,7 +491,7 @@
   private tryForward(job: ActiveJob): boolean {
     const { dispatcher, forwarding, operatorState } = this;
     if (!forwarding || !operatorState || this.isDraining) return false;
-    if (dispatcher.hasEarlierRuns(job) || dispatcher.isBound(job.id)) return false;
+    if (dispatcher.hasEarlierRuns(job) || dispatcher.bindings.has(job.id)) return false;
     return forwarding.sender.tryForward(job, operatorState.version, () => this.runDeclined(job));
   }
 
@@ -531,7 +531,7 @@
     this.dispatcher.remove(job);
     if (outcome.type === 'unfinished') {
       // Its client may send the job to another entry once it has the answer.
-      const bound = this.dispatcher.boundTasksOf(job.id);
+      const bound = this.dispatcher.bindings.rowsOf(job.id);
       await this.boundTaskNotices.tell(bound, job.deadlineAt);
     }
     return outcome;
@@ -552,7 +552,7 @@
       hasRuns: (agent) => this.dispatcher.hasRuns(agent),
       onChange: (agent, view) => {
         if (view.state !== 'closed') this.crashes.handleReturn(agent, view.incarnation);
-        this.dispatcher.releaseTasks(agent, view.incarnation);
+        this.dispatcher.bindings.release(agent, view.incarnation);
         this.dispatcher.schedulePass();
       },
       onLost: (agent, knowledge) => this.dispatcher.handleAgentLoss(agent, knowledge),
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -11,7 +11,6 @@
 import type { Log } from '@marjorammast/telemetry';
 import type { ActiveJob } from './ActiveJob';
 import type { AgentConnection, Assignment, StartKnowledge } from './AgentConnection';
-import { BoundTasks } from './BoundTasks';
 import {
   DECLINE_PAUSE_MS,
   MAX_DISPATCH_PASS_INTERVAL_MS,
@@ -38,7 +37,7 @@
 import { ScarcePlacement } from './ScarcePlacement';
 import type { PlacementOptions } from './ScarcePlacement';
 import { sortWaitingJobs } from './sortWaitingJobs';
-import { workerIdOf } from './workerIdOf';
+import { TaskBindings } from './TaskBindings';
 import { WorkerRooms } from './WorkerRooms';
 
 /** What the dispatcher needs from its entry. */
@@ -73,8 +72,6 @@
 /** The time that tasks have that are to wait at agents. */
 type QueueGoal = Omit<PlacementGoal, 'count'>;
 
-const NO_AGENTS: readonly string[] = [];
-
 /** Assigns the tasks of accepted jobs to agents and applies the results of their runs to the jobs. */
 export class Dispatcher {
   /** Jobs with waiting tasks. */
@@ -82,13 +79,8 @@
 
   private readonly runs = OutstandingRuns.create();
 
-  private readonly boundTasks = BoundTasks.create();
-
-  /** Bound tasks of which other entries have told. They are not told on: entries could keep them for ever. */
-  private readonly toldBoundTasks = BoundTasks.create();
-
-  /** Identifiers of the workers of the agents. */
-  private readonly workerIds = new Map<string, string>();
+  /** Tasks that may start on one worker only. */
+  readonly bindings = TaskBindings.create();
 
   /** How long queued work waits, by service and lateness. */
   private readonly estimates = new Map<string, QueueEstimate>();
@@ -206,7 +198,7 @@
    * @param tasks - rows of job, task index and identifier of the worker
    */
   bindTasks(agent: string, tasks: UnsettledTasks): void {
-    tasks.forEach(([job, index, workerId]) => this.boundTasks.bind(job, index, agent, workerId));
+    this.bindings.bind(agent, tasks);
     this.queue.forEach((job) => this.commitIfBound(job));
   }
 
@@ -216,30 +208,10 @@
    * @param rows - rows of job, task index, name of the agent and identifier of its worker
    */
   bindToldTasks(rows: BoundTaskRows): void {
-    rows
-      .filter(([, , agent, workerId]) => (this.workerIds.get(agent) ?? workerId) === workerId)
-      .forEach(([job, index, agent, workerId]) =>
-        this.toldBoundTasks.bind(job, index, agent, workerId),
-      );
+    this.bindings.bindTold(rows);
     this.queue.forEach((job) => this.commitIfBound(job));
   }
 
-  /**
-   * @param job - identifier of a job
-   * @returns true while tasks of it are bound to workers
-   */
-  isBound(job: string): boolean {
-    return this.boundTasks.has(job) || this.toldBoundTasks.has(job);
-  }
-
-  /**
-   * @param job - identifier of a job
-   * @returns its bound tasks that other entries may not know of
-   */
-  boundTasksOf(job: string): BoundTaskRows {
-    return this.boundTasks.rowsOf(job);
-  }
-
   /**
    * Handles the loss of the connection to an agent: the tasks that run there are queued again once
    * their runs have certainly ended. Those whose starts may have no answer may start only there.
@@ -250,7 +222,7 @@
   handleAgentLoss(agent: string, knowledge: StartKnowledge): void {
     const runs = this.runs.detachAll(agent);
     if (runs.length === 0) return;
-    const unsettled = this.bindUnsettled(agent, runs, knowledge);
+    const unsettled = this.bindings.bindUnsettled(agent, runs, knowledge);
     this.host.log.warn(
       { agent, runs: runs.length, unsettled, lapseMs: RUN_EXPIRY_MS },
       'runs_lapsing',
@@ -264,52 +236,16 @@
     setTimeout(() => runs.forEach((run) => this.expireRun(agent, run)), RUN_EXPIRY_MS);
   }
 
-  /**
-   * Releases the tasks that are bound to an agent whose worker has another identifier now.
-   *
-   * @param agent - name of the agent
-   * @param incarnation - the present incarnation of its worker; empty without a worker
-   */
-  releaseTasks(agent: string, incarnation: string): void {
-    const workerId = workerIdOf(incarnation);
-    if (workerId === '' || this.workerIds.get(agent) === workerId) return;
-    this.workerIds.set(agent, workerId);
-    this.boundTasks.release(agent, workerId);
-    this.toldBoundTasks.release(agent, workerId);
-  }
-
-  /** Names of the agents to whose workers a task is bound. */
-  private agentsBoundTo(job: string, index: number): readonly string[] {
-    if (!this.isBound(job)) return NO_AGENTS;
-    const own = this.boundTasks.agentsOf(job, index);
-    const told = this.toldBoundTasks.agentsOf(job, index);
-    return [...new Set([...own, ...told])];
-  }
-
   /** A job of which a start may be carried out later, also one of another copy, can't be refused as not run. */
   private commitIfBound(job: ActiveJob): void {
-    if (this.isBound(job.id)) job.mayHaveRun = true;
-  }
-
-  /** Binds the tasks of which a lost agent may have sent a start without an answer. Returns their number. */
-  private bindUnsettled(
-    agent: string,
-    runs: readonly OutstandingRun[],
-    { unsettled, asOf }: StartKnowledge,
-  ): number {
-    const isNamed = ({ job, index }: OutstandingRun) =>
-      unsettled.some(([id, taskIndex]) => id === job.id && taskIndex === index);
-    const bound = runs.filter((run) => run.assignedAt >= asOf || isNamed(run));
-    bound.forEach(({ job, index, incarnation }) =>
-      this.boundTasks.bind(job.id, index, agent, workerIdOf(incarnation)),
-    );
-    return bound.length;
+    if (this.bindings.has(job.id)) job.mayHaveRun = true;
   }
 
   /** Number of waiting tasks that may start on any worker. */
   private countUnbound(job: ActiveJob): number {
     const { waitingTasks } = job;
-    return waitingTasks.filter((index) => this.agentsBoundTo(job.id, index).length === 0).length;
+    return waitingTasks.filter((index) => this.bindings.agentsOf(job.id, index).length === 0)
+      .length;
   }
 
   /** Stops dispatching. */
@@ -449,8 +385,8 @@
     return groupWaitingTasks(job, {
       isSuspect: (index) => crashRecords.isSuspect(job.id, index),
       mustWait: (index) =>
-        crashRecords.mustWait(job.id, index) || this.agentsBoundTo(job.id, index).length > 1,
-      boundTo: (index) => this.agentsBoundTo(job.id, index)[0],
+        crashRecords.mustWait(job.id, index) || this.bindings.agentsOf(job.id, index).length > 1,
+      boundTo: (index) => this.bindings.agentsOf(job.id, index)[0],
     });
   }
 
--- a/packages/dispatch/tests/Dispatcher.test.ts
+++ b/packages/dispatch/tests/Dispatcher.test.ts
@@ -179,9 +179,9 @@
     await jest.advanceTimersByTimeAsync(50);
     dispatcher.halt();
     expect(busy?.assigned).toHaveLength(1);
-    expect(dispatcher.boundTasksOf('a')).toEqual([]);
+    expect(dispatcher.bindings.rowsOf('a')).toEqual([]);
     dispatcher.bindTasks('a', [['a', 0, 'a']]);
-    expect(dispatcher.boundTasksOf('a')).toEqual([['a', 0, 'a', 'a']]);
+    expect(dispatcher.bindings.rowsOf('a')).toEqual([['a', 0, 'a', 'a']]);
   });
 
   // Guards against a refusal that says that nothing runs while the start of an earlier copy is on its way.
--- a/packages/dispatch/tests/queueAtAgents.test.ts
+++ b/packages/dispatch/tests/queueAtAgents.test.ts
@@ -142,7 +142,7 @@
     dispatcher.halt();
     expect(assigned).toHaveLength(2);
     expect(job.mayHaveRun).toBe(true);
-    expect(dispatcher.boundTasksOf('a')).toEqual([['a', 0, 'agent', 'i-1']]);
+    expect(dispatcher.bindings.rowsOf('a')).toEqual([['a', 0, 'agent', 'i-1']]);
   });
 
   it('may have run when the answer to its assignment is lost', async () => {
