Agent: health and speed of the worker in a controller of its own

Change: WorkerCondition.ts has ejections, slowness and the timer that ends them; one is created for each incarnation, and its timer is armed again for runs on probation that were taken over.

--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -23,11 +23,10 @@
 import { probationDelay, probationRemainingMs } from './probation';
 import { QueuedStarts } from './QueuedStarts';
 import type { QueuedWorker, UnqueuedReason } from './QueuedStarts';
-import { SlownessEstimate, findSlowRuns } from './SlownessEstimate';
 import type { SlownessMeasure } from './slownessMeasure';
 import { UnsettledStarts } from './UnsettledStarts';
 import type { UnsettledStart } from './UnsettledStarts';
-import { WorkerHealth } from './WorkerHealth';
+import { WorkerCondition } from './WorkerCondition';
 import { WorkerSession } from './WorkerSession';
 import type { EndSign, LostRun, Run } from './run';
 import type { SessionHandover } from './workerSessionHost';
@@ -82,7 +81,7 @@
   /** State that the last session with the worker has passed on to the next. */
   private handover: SessionHandover = { token: 0, unconfirmed: [] };
 
-  private health = this.createHealth();
+  private condition: WorkerCondition;
 
   private rules: AdmissionRules = { revision: 0, outDataCenters: [] };
 
@@ -90,8 +89,6 @@
 
   private readonly crashReports: CrashReports;
 
-  private slowness: SlownessEstimate;
-
   /** Identifier of the worker of the latest session. */
   private lastWorkerId = '';
 
@@ -103,12 +100,9 @@
 
   private isStopping = false;
 
-  /** Ends an ejection, a slowdown or a probation, which changes the view without any other event. */
-  private recoveryTimer: NodeJS.Timeout | undefined;
-
   private constructor(private readonly options: GateAgentOptions) {
     this.server = this.createServer();
-    this.slowness = SlownessEstimate.create(options.slownessMeasure);
+    this.condition = this.createCondition();
     this.connections = EntryConnections.create({
       view: () => this.view,
       ownersOfRuns: () =>
@@ -189,7 +183,7 @@
 
   /** Stops at once, without waiting for the runs in progress. */
   halt(): void {
-    clearTimeout(this.recoveryTimer);
+    this.condition.halt();
     this.queuedStarts.halt();
     this.connections.closeAll();
     this.endSession('agent stopped');
@@ -200,7 +194,7 @@
   get view(): WorkerView {
     const { session } = this;
     const reason = this.unavailableReason;
-    const openState = this.health.state === 'healthy' ? 'open' : 'trial';
+    const openState = this.condition.state === 'healthy' ? 'open' : 'trial';
     return {
       service: session?.latestReport.service ?? '',
       labels: session?.latestReport.labels ?? [],
@@ -208,7 +202,7 @@
       free: this.queuedStarts.free,
       state: reason ? 'closed' : openState,
       reason,
-      slowness: this.slowness.value,
+      slowness: this.condition.slowness,
       incarnation: session ? incarnationOf(session.identity) : '',
       ...(reason ? {} : this.queuedStarts.report),
     };
@@ -216,7 +210,7 @@
 
   /** Ratio of actual to estimated run time of the worker. */
   get workerSlowness(): number {
-    return this.slowness.value;
+    return this.condition.slowness;
   }
 
   /** Number of tasks that wait for room. */
@@ -228,7 +222,7 @@
     if (this.isStopping) return 'agent stopping';
     if (!this.session) return 'no worker';
     if (this.session.unavailableReason) return this.session.unavailableReason;
-    return this.health.state === 'ejected' ? 'ejected' : '';
+    return this.condition.state === 'ejected' ? 'ejected' : '';
   }
 
   private createQueuedStarts(): QueuedStarts {
@@ -256,7 +250,7 @@
     return {
       runs: this.runs,
       capacity: session?.latestReport.capacity ?? NO_RESOURCES,
-      slowness: this.slowness.value,
+      slowness: this.condition.slowness,
     };
   }
 
@@ -266,13 +260,19 @@
     this.queuedStarts.schedule();
   }
 
-  private createHealth(): WorkerHealth {
-    return WorkerHealth.create(() => performance.now());
+  private createCondition(): WorkerCondition {
+    const { slownessMeasure, log } = this.options;
+    return WorkerCondition.create({
+      slownessMeasure,
+      probationRemainingMs: () => probationRemainingMs(this.runs, performance.now()),
+      onChanged: () => this.handleChange(),
+      log,
+    });
   }
 
   private beginSession(firstReport: WorkerReport): void {
-    this.health = this.createHealth();
-    this.slowness = SlownessEstimate.create(this.options.slownessMeasure);
+    this.condition.halt();
+    this.condition = this.createCondition();
     const { id, born, service, capacity } = firstReport;
     this.options.log.info({ worker: id, born, service, cpu: capacity.cpu }, 'worker_found');
     const host = {
@@ -285,10 +285,10 @@
       unsettledStarts: this.unsettledStarts,
       onStartedLate: (start: UnsettledStart, listedBorn: number) =>
         this.recordLateStart(start, listedBorn),
-      onUnhealthy: (run: Run) => this.recordFailure(run, 'unhealthy'),
-      onStalled: (run: Run) => this.recordFailureOfTask(run, 'stalled'),
+      onUnhealthy: (run: Run) => this.condition.recordFailure(run, 'unhealthy'),
+      onStalled: (run: Run) => this.condition.recordFailureOfTask(run, 'stalled'),
       onChanged: () => this.handleChange(),
-      findRunsToMove: (runs: readonly Run[]) => this.findRunsToMove(runs),
+      findRunsToMove: (runs: readonly Run[]) => this.condition.findRunsToMove(runs),
       onReplaced: () => this.replaceSession(),
       onLeft: () => this.endSession('worker deregistered'),
       onCrashed: (lostRuns: readonly LostRun[]) => this.handleCrash(firstReport, lostRuns),
@@ -297,6 +297,8 @@
     };
     this.dropHandoverOfOtherWorker(id);
     this.session = WorkerSession.create(firstReport, host, this.handover);
+    // A run that was taken over may be on probation.
+    this.condition.scheduleRecovery();
     this.lastWorkerId = id;
     this.handover = { ...this.handover, unconfirmed: [] };
     this.handleChange();
@@ -437,7 +439,7 @@
     const rest = isQueueable ? assignment.runs.slice(count) : [];
     const queued = this.queuedStarts.join(assignment, rest, ownerId, state.ageMs);
     const declined = assignment.runs.length - admitted.length - queued.length;
-    if (assignment.isSuspect && admitted.length > 0) this.scheduleRecovery();
+    if (assignment.isSuspect && admitted.length > 0) this.condition.scheduleRecovery();
     this.connections.recordAssignment(link, assignment.needs, declined > 0);
     this.options.meter.assigned(admitted.length, declined, reason ?? '');
     if (queued.length > 0) this.options.meter.queued(queued.length);
@@ -497,7 +499,7 @@
       runs: session?.runCount ?? 0,
       runsOfStep: session?.select(isOfStep).length ?? 0,
       isTaskRunning: runs.some(([index]) => this.isTaskRunning(assignment, index)),
-      isOnTrial: this.health.state === 'trial',
+      isOnTrial: this.condition.state === 'trial',
       isOnProbation: this.isOnProbation,
     };
   }
@@ -552,60 +554,9 @@
       { task: taskKey(run.task), run: run.run, how, sign, ms: Math.round(ms), stopMs },
       'run_ended',
     );
-    if (how === 'done') this.recordSuccess(run, ms);
-    if (how === 'failed') this.recordFailureOfTask(run, how);
+    if (how === 'done') this.condition.recordSuccess(run, ms);
+    if (how === 'failed') this.condition.recordFailureOfTask(run, how);
     this.connections.reportEnd(run, how, ms);
     this.handleChange();
   }
-
-  private recordSuccess(run: Run, ms: number): void {
-    this.health.recordSuccess();
-    this.slowness.learnFromRun(ms, run.estimateMs);
-  }
-
-  private findRunsToMove(runs: readonly Run[]): Run[] {
-    const now = performance.now();
-    if (this.slowness.updateSlowdown(runs, now)) {
-      this.options.log.warn(
-        { slowness: this.slowness.value, runs: runs.length },
-        'slowness_changed',
-      );
-      this.handleChange();
-      this.scheduleRecovery();
-    }
-    return findSlowRuns(runs, this.slowness.value, now);
-  }
-
-  /** Records a failure, unless the task has failed elsewhere too, which is no fault of this worker. */
-  private recordFailureOfTask(run: Run, how: string): void {
-    if (!run.hasFailedElsewhere) this.recordFailure(run, how);
-  }
-
-  private recordFailure(run: Run, how: string): void {
-    if (!this.health.recordFailure(run.task.job)) return;
-    this.options.log.warn({ job: run.task.job, how }, 'worker_ejected');
-    this.handleChange();
-    this.scheduleRecovery();
-  }
-
-  /** Updates the entries once an ejection, a slowdown or a probation is over. */
-  private scheduleRecovery(): void {
-    clearTimeout(this.recoveryTimer);
-    const now = performance.now();
-    const delays = [
-      this.health.ejectionRemainingMs,
-      this.slowness.slowdownRemainingMs(now),
-      probationRemainingMs(this.runs, now),
-    ];
-    const delayMs = Math.min(...delays.filter((ms) => ms > 0));
-    if (!Number.isFinite(delayMs)) return;
-    this.recoveryTimer = setTimeout(
-      () => {
-        this.slowness.expireSlowdown(performance.now());
-        this.handleChange();
-        this.scheduleRecovery();
-      },
-      Math.ceil(delayMs) + 1,
-    );
-  }
 }
