--- a/review/support-2/Deployment.mjs
+++ b/review/support-2/Deployment.mjs
@@ -170,7 +170,7 @@
     entry,
     { id = this.nextId(), prefix = '/check/', count = 2, runMs = 100, deadlineMs = 4_000 },
   ) {
-    this.record({ type: 'submit', job: id, entry: entry + 1, tasks: count, runMs });
+    this.record({ type: `submit to ${prefix}`, job: id, entry: entry + 1, tasks: count, runMs });
     const answer = await sendJson(this.frontendOf(entry), 'POST', `${prefix}${id}`, {
       headers: { host: HOST, 'x-marjorammast-deadline-ms': String(deadlineMs) },
       body: {
@@ -193,6 +193,14 @@
     return answer;
   }
 
+  /** Asks an entry for the state of a job. */
+  async ask(entry, id, prefix) {
+    const headers = { host: HOST };
+    const answer = await sendJson(this.frontendOf(entry), 'GET', `${prefix}${id}`, { headers });
+    this.recordAnswer(`state at ${prefix}`, id, entry, answer);
+    return answer;
+  }
+
   recordAnswer(type, job, entry, { status, body, error }) {
     const detail = { state: body?.state, reason: body?.error };
     this.record({ type, job, entry: entry + 1, status, error, ...detail });
