Review case 6: a task runs twice after a zone lost power

A worker leaves one start unanswered; its zone, with its agent and an entry, is dark for 1.5 s. The worker comes back under its id and carries the start out. The entry that has the job tells the others once that the task is bound to that worker, while the entry of the dark zone is down; that one gets the job sent again and starts the task elsewhere. Both runs are at work for half a second.

--- a/review/support-2/Worker.mjs
+++ b/review/support-2/Worker.mjs
@@ -85,7 +85,16 @@
     await sendJson(control, 'POST', path, { body, timeoutMs: 1_000 });
   }
 
-  async handle({ url, headers, body }) {
+  /** Answers a request, unless `lateMs` of the options names a delay: then it gets no answer and is carried
+   * out later. */
+  async handle(request) {
+    const delayMs = this.options.lateMs?.(request, this.lives);
+    if (delayMs === undefined) return this.carryOut(request);
+    setTimeout(() => this.isUp && this.carryOut(request), delayMs);
+    return undefined;
+  }
+
+  async carryOut({ url, headers, body }) {
     if (headers['x-marjorammast-expected-instance'] !== this.options.id) {
       return { status: 421, body: { clock_ms: this.clock } };
     }
