--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -52,6 +52,8 @@
   const before = await measure(deployment, 5_000);
   deployment.record({ type: 'served before the final fault', share: percent(before) });
   if (hasTrouble) {
+    // The final fault strikes right after a configuration was acknowledged, here one that changes nothing.
+    deployment.configure(4, [{ name: 'check', prefix: '/check/' }]);
     deployment.machines.forEach((machine) => machine.signal('SIGKILL', 1_500));
     await sleep(1_500);
   }
