--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -3,7 +3,7 @@
 import { sleep } from '../support-2/json.mjs';
 
 const ENTRIES = 2;
-const WORKERS = 7;
+const WORKERS = 8;
 const REQUEST_PERIOD_MS = 200;
 const DOWN_MS = 1_000;
 const PAUSE_MS = 1_500;
--- a/review/support-2/Deployment.mjs
+++ b/review/support-2/Deployment.mjs
@@ -133,11 +133,11 @@
     return worker;
   }
 
-  /** Takes a worker and its machine away for good: the worker drains and deregisters, then its machine is stopped. */
+  /** A worker and its machine are lost for good, without SIGTERM. */
   async removeWorker(index) {
     const worker = this.workers.find(({ options }) => options.id === `i-${index + 1}`);
-    await worker.leave();
-    await this.machines.get(`side-${index + 1}`).remove();
+    worker.close();
+    await this.machines.get(`side-${index + 1}`).end();
   }
 
   /** Waits until a process has written its address into the store, for 10 s at most. */
--- a/review/support-2/Machine.mjs
+++ b/review/support-2/Machine.mjs
@@ -58,16 +58,6 @@
     this.child.kill(signal);
   }
 
-  /** Stops the process gracefully; the machine is removed. */
-  async remove() {
-    this.isWanted = false;
-    const ended = new Promise((resolve) => {
-      this.child.once('exit', resolve);
-    });
-    this.child.kill('SIGTERM');
-    await ended;
-  }
-
   /** Ends the process for good. */
   async end() {
     this.isWanted = false;
--- a/review/support-2/Worker.mjs
+++ b/review/support-2/Worker.mjs
@@ -186,16 +186,6 @@
     [...this.waiters].forEach((wake) => wake());
   }
 
-  /** Reports that it drains, deregisters and ends. */
-  async leave() {
-    const { id, control } = this.options;
-    this.state = 'draining';
-    await this.beat();
-    const path = `/api/instances/${id}/deregister`;
-    await sendJson(control, 'POST', path, { body: { born: this.born }, timeoutMs: 1_000 });
-    this.close();
-  }
-
   close() {
     if (this.isUp) this.crash();
   }
