Agent: logs and a metric that tell why a worker refuses a token

The log had only 'command_refused reason=superseded', which can't tell three hypotheses apart: the token handed over between incarnations is above what the next process computes; a late command of an earlier process has raised it; two processes of the agent take turns.

The commands to an incarnation of the worker are now a class of their own (WorkerCommands), with the token, and say which token was chosen, which one this process had sent before (token_chosen), and which token was refused. The counter marjorammast_superseded counts the refusals. No decision has changed.

Tests: packages/gate and the generated schedules (dispatch, twice): 281 passed.

--- a/marjorammast-app/src/gateAgent.ts
+++ b/marjorammast-app/src/gateAgent.ts
@@ -34,6 +34,11 @@
   );
   const crashes = metrics.counter('marjorammast_worker_crashes', 'Crashes of the worker', []);
   const lostByCrash = metrics.counter('marjorammast_runs_lost', 'Runs on crashed workers', []);
+  const superseded = metrics.counter(
+    'marjorammast_superseded',
+    'Commands that the worker refused because it has received a higher fencing token',
+    [],
+  );
   const unqueued = metrics.counter(
     'marjorammast_unqueued',
     'Tasks that waited for room and were given back to their entries',
@@ -61,6 +66,7 @@
         crashes.inc();
         lostByCrash.inc(lostRuns);
       },
+      superseded: () => superseded.inc(),
       queued: (tasks) => assignments.inc({ answer: 'queued' }, tasks),
       unqueued: (reason) => unqueued.inc({ reason }),
     },
--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -41,6 +41,8 @@
   /** A start without an answer was carried out, by the incarnation it was sent to or by a later one. */
   startedLate: (incarnation: 'same' | 'later') => void;
   crashed: (lostRuns: number) => void;
+  /** The worker refused a command, since it has received a higher fencing token. */
+  superseded: () => void;
   /** Tasks of an assignment were queued. */
   queued: (tasks: number) => void;
   /** A queued task was given back. */
@@ -286,6 +288,7 @@
       onStartedLate: (start: UnsettledStart, listedBorn: number) =>
         this.recordLateStart(start, listedBorn),
       onUnhealthy: (run: Run) => this.condition.recordFailure(run, 'unhealthy'),
+      onSuperseded: () => this.options.meter.superseded(),
       onStalled: (run: Run) => this.condition.recordFailureOfTask(run, 'stalled'),
       onChanged: () => this.handleChange(),
       findRunsToMove: (runs: readonly Run[]) => this.condition.findRunsToMove(runs),
--- a/packages/gate/src/WorkerSession.ts
+++ b/packages/gate/src/WorkerSession.ts
@@ -16,17 +16,17 @@
   UNCONFIRMED_RUN_MS,
 } from './constants';
 import { EndedRuns } from './EndedRuns';
-import { FencingToken } from './FencingToken';
 import { findStalledRuns } from './findStalledRuns';
 import { isAbsent } from './isAbsent';
 import { LostRuns } from './LostRuns';
 import { sumNeeds } from './sumNeeds';
 import type { EndSign, Run } from './run';
+import { WorkerCommands } from './WorkerCommands';
+import type { RunListRequest } from './WorkerCommands';
 import { WorkerContact } from './WorkerContact';
 import { WorkerLease } from './WorkerLease';
 import type { SessionHandover, WorkerSessionHost } from './workerSessionHost';
 import type {
-  HoldCommand,
   ListedEnd,
   ListedRun,
   CommandResult,
@@ -42,7 +42,7 @@
 export class WorkerSession {
   readonly identity: WorkerIdentity;
 
-  private readonly fencing: FencingToken;
+  private readonly commands: WorkerCommands;
 
   private readonly runs = new Map<string, Run>();
 
@@ -88,7 +88,7 @@
     handover: SessionHandover,
   ) {
     this.identity = { id: report.id, born: report.born };
-    this.fencing = FencingToken.create(report.born, report.clock, handover.token);
+    this.commands = WorkerCommands.create(report, handover.token, host);
     this.lease = WorkerLease.create(report.clock);
   }
 
@@ -269,7 +269,7 @@
       this.removeRun(run, 'lapsed', 'sessionEnded'),
     );
     this.host.onChanged();
-    return { token: this.fencing.highest, unconfirmed };
+    return { token: this.commands.highestToken, unconfirmed };
   }
 
   private adoptUnconfirmed(run: Run): void {
@@ -288,10 +288,6 @@
     return this.select(({ state }) => state !== 'waiting');
   }
 
-  private get commandBase(): { worker: WorkerIdentity; token: number } {
-    return { worker: this.identity, token: this.fencing.current };
-  }
-
   private recordContact(clock: number | undefined): void {
     this.contact.recordAnswer();
     this.lostRuns.clear();
@@ -313,11 +309,10 @@
 
   private async sendStart(run: Run): Promise<void> {
     const { task, spec } = run;
-    run.startToken = this.fencing.current;
+    run.startToken = this.commands.token;
     run.starts += 1;
     run.pendingStarts += 1;
-    const answer = await this.host.worker.start({
-      ...this.commandBase,
+    const answer = await this.commands.start({
       task,
       run: run.run,
       spec,
@@ -334,7 +329,6 @@
         else run.state = 'running';
       })
       .with({ type: 'refused' }, ({ reason, clock }) => {
-        this.host.log.warn({ task: taskKey(task), run: run.run, reason }, 'start_refused');
         if (reason === 'otherLife') this.host.onReplaced();
         else {
           this.recordContact(clock);
@@ -361,7 +355,7 @@
     run.unansweredAt = unansweredAt;
     const isUnsettled = () =>
       this.isTracked(run) && run.state === 'starting' && run.unansweredAt === unansweredAt;
-    this.fencing.raise(this.lease.workerTime);
+    this.commands.raiseToken(this.lease.workerTime);
     if (this.isTracked(run) && !isUnsettled()) this.recordIfUnsettled(run);
     while (isUnsettled()) {
       await this.fetchRunList();
@@ -410,11 +404,7 @@
   private async stopUntilConfirmed(run: Run): Promise<void> {
     run.state = 'stopping';
     while (this.isTracked(run)) {
-      const stopped = await this.host.worker.stop({
-        ...this.commandBase,
-        task: run.task,
-        run: run.run,
-      });
+      const stopped = await this.commands.stop(run.task, run.run);
       this.handleCommandAnswer('stop', stopped);
       const listed = this.isTracked(run) ? await this.fetchRunList() : undefined;
       if (!this.isTracked(run)) return;
@@ -435,7 +425,7 @@
   }
 
   private async fetchRunList(): Promise<RunList | undefined> {
-    return this.hold({ ...this.commandBase, lastEnd: this.lastEndNumber, waitMs: 0 });
+    return this.hold({ lastEnd: this.lastEndNumber, waitMs: 0 });
   }
 
   private track(run: Run): void {
@@ -477,8 +467,7 @@
       this.runs.size > 0 && this.contact.isAnswering && !this.isRenewing && !this.isLeaseWithheld;
     const leaseUntil = isRenewal ? this.lease.extend() : undefined;
     if (waitMs === 0 && isRenewal) this.isRenewing = true;
-    const command = { ...this.commandBase, lastEnd: this.lastEndNumber, leaseUntil, waitMs };
-    const list = await this.hold(command);
+    const list = await this.hold({ lastEnd: this.lastEndNumber, leaseUntil, waitMs });
     if (waitMs === 0 && isRenewal) this.isRenewing = false;
     if (list) this.stopStalledRuns();
     return list;
@@ -500,14 +489,15 @@
     }
   }
 
-  private async hold(command: HoldCommand): Promise<RunList | undefined> {
+  private async hold(command: RunListRequest): Promise<RunList | undefined> {
     const requestedAt = performance.now();
-    const answer = await this.host.worker.hold(command);
+    const { token } = this.commands;
+    const answer = await this.commands.hold(command);
     if (this.hasEnded) return undefined;
     return match(answer)
       .with({ type: 'list' }, ({ list }) => {
         if (list.born !== this.identity.born) {
-          this.fenceNextIncarnation(list);
+          this.commands.fenceNextIncarnation(list);
           this.host.onReplaced();
           return undefined;
         }
@@ -518,7 +508,7 @@
         list.ended.forEach((end) => this.recordEnd(end.number, end.task, end.run, end.how));
         this.findContradictedEnds(list.running, requestedAt);
         this.reconcileRunning(list.running, requestedAt);
-        this.settleFencedRuns(list, command.token);
+        this.settleFencedRuns(list, token);
         if (wasUnresponsive) this.host.onChanged();
         return list;
       })
@@ -528,25 +518,11 @@
       });
   }
 
-  /**
-   * Sends a higher token to the next incarnation at once, so that it refuses commands that were meant
-   * for this incarnation and arrive late.
-   */
-  private fenceNextIncarnation({ born, clock }: RunList): void {
-    const worker = { ...this.identity, born };
-    const token = this.fencing.forNextIncarnation(born, clock);
-    const command = { worker, token, lastEnd: 0, waitMs: 0 };
-    void this.host.worker.hold(command).then((answer) => {
-      this.host.log.info({ born, answer: answer.type }, 'next_life_fenced');
-    });
-  }
-
   private handleCommandAnswer(command: string, answer: CommandResult): void {
     if (this.hasEnded) return;
     match(answer)
       .with({ type: 'accepted' }, ({ clock }) => this.recordContact(clock))
       .with({ type: 'refused' }, ({ reason, clock }) => {
-        this.host.log.warn({ call: command, reason }, 'command_refused');
         if (reason === 'otherLife') this.host.onReplaced();
         else this.recordContact(clock);
       })
@@ -615,9 +591,7 @@
     );
     orphans.forEach(({ task, run }) => {
       this.host.log.warn({ task: taskKey(task), run }, 'orphan_stopped');
-      void this.host.worker
-        .stop({ ...this.commandBase, task, run })
-        .then((answer) => this.handleCommandAnswer('stop', answer));
+      void this.commands.stop(task, run).then((answer) => this.handleCommandAnswer('stop', answer));
     });
     const isReconciled = orphans.length === 0;
     if (isReconciled === this.isReconciled) return;
--- a/packages/gate/src/workerSessionHost.ts
+++ b/packages/gate/src/workerSessionHost.ts
@@ -30,6 +30,8 @@
   onStartedLate: (start: UnsettledStart, born: number) => void;
   /** Called when the worker refuses a run as unhealthy. */
   onUnhealthy: (run: Run) => void;
+  /** Called when the worker refuses a command, since it has received a higher fencing token. */
+  onSuperseded: () => void;
   /** Called when a run makes no progress. */
   onStalled: (run: Run) => void;
   /** Called when the free resources or the availability of the worker have changed. */
--- a/packages/gate/tests/GateAgent.test.ts
+++ b/packages/gate/tests/GateAgent.test.ts
@@ -91,6 +91,7 @@
       ended: jest.fn(),
       endContradicted: jest.fn(),
       startedLate: jest.fn(),
+      superseded: jest.fn(),
       crashed: jest.fn(),
       queued: jest.fn(),
       unqueued: jest.fn(),
--- a/packages/gate/tests/WorkerSession.test.ts
+++ b/packages/gate/tests/WorkerSession.test.ts
@@ -124,6 +124,7 @@
     unsettledStarts: UnsettledStarts.create(jest.fn()),
     onStartedLate: jest.fn(),
     onUnhealthy: jest.fn(),
+    onSuperseded: jest.fn(),
     onStalled: jest.fn(),
     onChanged: jest.fn(),
     findRunsToMove: () => [],
--- a/packages/gate/tests/queuedStarts.test.ts
+++ b/packages/gate/tests/queuedStarts.test.ts
@@ -63,6 +63,7 @@
       ended: jest.fn(),
       endContradicted: jest.fn(),
       startedLate: jest.fn(),
+      superseded: jest.fn(),
       crashed: jest.fn(),
       queued: jest.fn(),
       unqueued: jest.fn(),
--- a/packages/proofs/tests/support/DispatchSimulation.ts
+++ b/packages/proofs/tests/support/DispatchSimulation.ts
@@ -308,6 +308,7 @@
         ended: () => undefined,
         endContradicted: () => undefined,
         startedLate: () => undefined,
+        superseded: () => undefined,
         crashed: () => undefined,
         queued: (tasks: number) => {
           this.admissions.queued += tasks;
