Fix: the next incarnation of a worker gets a token above all commands before

Cause: when another incarnation answers, the agent fences it at once with the higher of its highest token and born + clock. When the clock of that incarnation begins lower than the one before, this was the token of the earlier commands itself. A worker refuses only lower tokens, so that a late start of that token would be carried out there until the first call of the next session.

Change: the token is above the highest one sent, whatever the clocks.

--- a/packages/gate/src/FencingToken.ts
+++ b/packages/gate/src/FencingToken.ts
@@ -48,10 +48,10 @@
   /**
    * @param born - start time of the next incarnation, in milliseconds since the Unix epoch
    * @param clock - a reading of its clock, in milliseconds
-   * @returns the token for the first command to it
+   * @returns the token for the first command to it, above that of any command before
    */
   forNextIncarnation(born: number, clock: number): number {
-    this.highestSent = Math.max(this.highestSent, fencingTokenAt(born, clock));
+    this.highestSent = Math.max(this.highestSent + 1, fencingTokenAt(born, clock));
     return this.highestSent;
   }
 }
--- a/packages/gate/tests/WorkerSession.test.ts
+++ b/packages/gate/tests/WorkerSession.test.ts
@@ -493,6 +493,21 @@
     fixture.session.end();
   });
 
+  // Guards against two runs of a task at once: a worker carries out a late command whose token is not lower than the
+  // highest that it has received, and its clock may begin lower than that of the incarnation before.
+  it('sends the next incarnation a higher token than all commands before, although its clock begins lower', async () => {
+    const fixture = createFixture({ token: 9_000_000, unconfirmed: [] });
+    await advance(20);
+    const highestBefore = Math.max(...fixture.holds.map(({ token }) => token));
+    fixture.born = BORN + 60_000;
+    await advance(20);
+    const nextTokens = fixture.holds
+      .filter(({ worker }) => worker.born === fixture.born)
+      .map(({ token }) => token);
+    expect(Math.min(...nextTokens)).toBeGreaterThan(highestBefore);
+    fixture.session.end();
+  });
+
   // The first report of the next incarnation may be older than the list that it has answered with. A
   // token computed from that report would be lower than the one sent before, and the worker refuses
   // lower tokens.
