Fix: the store numbers the processes of an agent, and its tokens follow that number

Cause: the first token of an agent's process was born + clock of the present incarnation. Class: a number that only one process can know decides which of several processes is the newer. Two more paths of it: - a delayed start of an earlier process, sent to an earlier incarnation with a higher clock, was not refused by the next one, ran there, and locked the new agent out; - an agent that is refused stayed open for work, asked 22 times a second for good, and nothing led out of it, whatever had raised the token.

Change: each process of an agent registers in the store with the generation above the one that it finds, on condition that nobody has written since (AgentRegistration; one read more a start, the write was there). Its tokens are those of the generation: above all of earlier processes, whatever the clocks. The order is that of the registrations, so no process can get above one that has registered after it. An agent that is overtaken is closed (reason=superseded) and asks the store for a higher generation; the store grants it only while no other process has registered (ProcessGeneration). Otherwise it is the earlier one: it closes its connections and starts nothing more. While the store does not answer, the token follows from the clock as before, so a worker that started since takes work without the store; one that has seen a generation waits for it.

--- a/marjorammast-app/src/dispatchEntry.ts
+++ b/marjorammast-app/src/dispatchEntry.ts
@@ -94,7 +94,12 @@
   await serveMetrics(metrics, settings.metrics, ports.side('metrics'));
   const rpcServer = await listen(rpc, entry.server, traffic, ports.peers);
   const address = settings.advertisedRpc ?? rpc;
-  void registerProcess(platformStore, 'entries', { name, address, dataCenter }, log);
+  void registerProcess(
+    platformStore,
+    'entries',
+    { name, address, dataCenter },
+    { random: Math.random, log },
+  );
   log.info({ clients, dataCenter, pid: process.pid }, 'started');
   stopOnSignal(log, async () => {
     // Closes the idle connections too, so that their clients send the next job to another entry.
--- a/marjorammast-app/src/gateAgent.ts
+++ b/marjorammast-app/src/gateAgent.ts
@@ -1,8 +1,9 @@
+import { randomBytes } from 'node:crypto';
 import { GateAgent, createSuspendAwareClock, robustSlowness } from '@marjorammast/gate';
 import { createPlatformStore, createWorkerClient, serveWorkerApi } from '@marjorammast/platform';
 import { listen } from '@marjorammast/protocol';
 import { gateSettingsSchema } from '@marjorammast/settings';
-import { registerProcess } from '@marjorammast/store';
+import { AgentRegistration } from '@marjorammast/store';
 import { createPrometheusMetrics } from '@marjorammast/telemetry';
 import { createDaemonLog } from './createDaemonLog';
 import { guardProcess, runDaemon } from './guardProcess';
@@ -10,6 +11,9 @@
 import { serveMetrics } from './serveMetrics';
 import { loadSettings, parseAddress, stopOnSignal } from './settings';
 
+/** Length of the random identifier of a process, in bytes. */
+const PROCESS_ID_BYTES = 8;
+
 /** Runs an agent of the dispatch design. */
 const run = async (): Promise<void> => {
   const settings = loadSettings('gateAgent', gateSettingsSchema);
@@ -44,12 +48,20 @@
     'Tasks that waited for room and were given back to their entries',
     ['reason'],
   );
+  const registration = AgentRegistration.create({
+    store: createPlatformStore(settings.store, log),
+    agent: { name, address: settings.advertisedRpc ?? rpc, dataCenter },
+    processId: randomBytes(PROCESS_ID_BYTES).toString('hex'),
+    random: Math.random,
+    log,
+  });
   const agent = GateAgent.create({
     name,
     dataCenter,
     worker: createWorkerClient(worker, log),
     clock: createSuspendAwareClock(),
     log,
+    renewGeneration: () => registration.renew(),
     slownessMeasure: placement?.robustSlowness ? robustSlowness : undefined,
     meter: {
       assigned: (admitted, declined, reason) => {
@@ -83,12 +95,7 @@
   await serveWorkerApi(agent, host, port, log, ports.side('workerReports'));
   await serveMetrics(metrics, settings.metrics, ports.side('metrics'));
   log.info({ rpc, worker, dataCenter, pid: process.pid }, 'started');
-  void registerProcess(
-    createPlatformStore(settings.store, log),
-    'agents',
-    { name, address: settings.advertisedRpc ?? rpc, dataCenter },
-    log,
-  );
+  void registration.register().then((generation) => agent.raiseGeneration(generation));
   stopOnSignal(log, async () => {
     await agent.stop(stopTimeoutMs);
     rpcServer.close();
--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -2,6 +2,7 @@
 import type {
   CallServer,
   AdmissionRules,
+  GenerationRenewal,
   Link,
   Params,
   Resources,
@@ -21,6 +22,7 @@
 import { incarnationOf } from './incarnationOf';
 import { isSameIncarnation } from './isSameIncarnation';
 import { probationDelay, probationRemainingMs } from './probation';
+import { ProcessGeneration } from './ProcessGeneration';
 import { QueuedStarts } from './QueuedStarts';
 import type { QueuedWorker, UnqueuedReason } from './QueuedStarts';
 import type { SlownessMeasure } from './slownessMeasure';
@@ -58,6 +60,8 @@
   clock: () => number;
   log: Log;
   meter: GateMeter;
+  /** Asks the store for a higher generation of this process. */
+  renewGeneration: () => Promise<GenerationRenewal>;
   /** How the slowness of the worker is measured; a moving average if absent. */
   slownessMeasure?: SlownessMeasure;
 };
@@ -100,6 +104,8 @@
 
   private readonly queuedStarts: QueuedStarts;
 
+  private readonly generation: ProcessGeneration;
+
   private isStopping = false;
 
   private constructor(private readonly options: GateAgentOptions) {
@@ -121,6 +127,12 @@
       log: options.log,
     });
     this.queuedStarts = this.createQueuedStarts();
+    this.generation = ProcessGeneration.create({
+      renew: options.renewGeneration,
+      onRaised: () => this.session?.continueWithGeneration(),
+      onReplaced: () => this.halt(),
+      log: options.log,
+    });
   }
 
   /**
@@ -131,6 +143,15 @@
     return new GateAgent(options);
   }
 
+  /**
+   * Takes over the generation under which this process is registered in the store.
+   *
+   * @param generation - the generation
+   */
+  raiseGeneration(generation: number): void {
+    this.generation.raise(generation);
+  }
+
   /**
    * Handles a report of the worker. A report of another incarnation does not end the session: it may come
    * from another writer. The session ends once the worker itself has answered as another incarnation.
@@ -139,6 +160,7 @@
    */
   handleReport(workerReport: WorkerReport): void {
     const { session, departed } = this;
+    if (this.generation.isReplaced) return;
     if (session && isSameIncarnation(session.identity, workerReport)) {
       session.update(workerReport);
       return;
@@ -222,6 +244,7 @@
 
   private get unavailableReason(): string {
     if (this.isStopping) return 'agent stopping';
+    if (this.generation.isReplaced) return 'superseded';
     if (!this.session) return 'no worker';
     if (this.session.unavailableReason) return this.session.unavailableReason;
     return this.condition.state === 'ejected' ? 'ejected' : '';
@@ -288,7 +311,11 @@
       onStartedLate: (start: UnsettledStart, listedBorn: number) =>
         this.recordLateStart(start, listedBorn),
       onUnhealthy: (run: Run) => this.condition.recordFailure(run, 'unhealthy'),
-      onSuperseded: () => this.options.meter.superseded(),
+      generation: () => this.generation.current,
+      onSuperseded: (isOvertaken: boolean) => {
+        this.options.meter.superseded();
+        if (isOvertaken) this.generation.handleSuperseded();
+      },
       onStalled: (run: Run) => this.condition.recordFailureOfTask(run, 'stalled'),
       onChanged: () => this.handleChange(),
       findRunsToMove: (runs: readonly Run[]) => this.condition.findRunsToMove(runs),
@@ -309,12 +336,14 @@
 
   /**
    * Commands name the id of their worker, so that one under another id refuses all that were sent before: they are
-   * not carried out any more, and their tokens say nothing to it.
+   * not carried out any more, and their tokens say nothing to it. The next process of the agent may have to do
+   * without the store, so that it can compute only a token that follows from the present worker.
    */
   private dropHandoverOfOtherWorker(id: string): void {
     if (id === this.lastWorkerId) return;
     const { unconfirmed } = this.handover;
-    this.handover = { token: 0, unconfirmed: [] };
+    const isNumbered = this.generation.current > 0;
+    this.handover = { token: isNumbered ? this.handover.token : 0, unconfirmed: [] };
     this.unsettledStarts.clear();
     unconfirmed.forEach((run) => this.handleRunEnd(run, 'lapsed', 'sessionEnded'));
   }
--- a/packages/gate/src/WorkerCommands.ts
+++ b/packages/gate/src/WorkerCommands.ts
@@ -1,7 +1,7 @@
 import { taskKey } from '@marjorammast/protocol';
 import type { TaskId } from '@marjorammast/protocol';
 import type { Log } from '@marjorammast/telemetry';
-import { FencingToken } from './FencingToken';
+import { FencingToken, firstTokenOf } from './FencingToken';
 import type {
   CommandResult,
   HoldCommand,
@@ -16,8 +16,13 @@
 /** Connection to the worker, and what is told of its answers. */
 export type WorkerCommandsHost = {
   worker: WorkerClient;
-  /** Called when the worker refuses a command, since it has received a higher fencing token. */
-  onSuperseded: () => void;
+  /** Generation of the agent's process; 0 while it is not known. */
+  generation: () => number;
+  /**
+   * Called when the worker refuses a command, since it has received a higher fencing token. `isOvertaken` tells
+   * whether this process has sent none that is as high.
+   */
+  onSuperseded: (isOvertaken: boolean) => void;
   log: Log;
 };
 
@@ -46,9 +51,11 @@
     highestEarlier: number,
     host: WorkerCommandsHost,
   ): WorkerCommands {
-    const fencing = FencingToken.create(born, clock, highestEarlier);
+    const generation = host.generation();
+    const fencing = FencingToken.create(born, clock, generation, highestEarlier);
     const { current: token } = fencing;
-    host.log.info({ worker: id, born, clock, token, earlier: highestEarlier }, 'token_chosen');
+    const fields = { worker: id, born, clock, generation, token, earlier: highestEarlier };
+    host.log.info(fields, 'token_chosen');
     return new WorkerCommands({ id, born }, fencing, host);
   }
 
@@ -62,13 +69,9 @@
     return this.fencing.highest;
   }
 
-  /**
-   * Raises the token, so that the worker refuses the commands sent before.
-   *
-   * @param clock - the present time on the worker's clock, in milliseconds
-   */
-  raiseToken(clock: number): void {
-    this.fencing.raise(clock);
+  /** Raises the token, so that the worker refuses the commands sent before. */
+  raiseToken(): void {
+    this.fencing.raise(firstTokenOf(this.host.generation()));
   }
 
   /**
@@ -81,7 +84,7 @@
     const { token } = this;
     const answer = await this.host.worker.start({ worker: this.identity, token, ...command });
     const { task, run } = command;
-    this.recordRefusal('start_refused', answer, { task: taskKey(task), run, token });
+    this.recordRefusal('start_refused', answer, token, { task: taskKey(task), run });
     return answer;
   }
 
@@ -95,11 +98,10 @@
   async stop(task: TaskId, run: number): Promise<CommandResult> {
     const { token } = this;
     const answer = await this.host.worker.stop({ worker: this.identity, token, task, run });
-    this.recordRefusal('command_refused', answer, {
+    this.recordRefusal('command_refused', answer, token, {
       call: 'stop',
       task: taskKey(task),
       run,
-      token,
     });
     return answer;
   }
@@ -113,7 +115,7 @@
   async hold(command: RunListRequest): Promise<HoldResult> {
     const { token } = this;
     const answer = await this.host.worker.hold({ worker: this.identity, token, ...command });
-    this.recordRefusal('command_refused', answer, { call: 'hold', token });
+    this.recordRefusal('command_refused', answer, token, { call: 'hold' });
     return answer;
   }
 
@@ -134,11 +136,13 @@
   private recordRefusal(
     event: 'start_refused' | 'command_refused',
     answer: CommandResult | HoldResult,
+    token: number,
     fields: Record<string, unknown>,
   ): void {
     if (answer.type !== 'refused') return;
     const { reason, clock } = answer;
-    this.host.log.warn({ ...fields, reason, clock }, event);
-    if (reason === 'superseded') this.host.onSuperseded();
+    this.host.log.warn({ ...fields, token, reason, clock }, event);
+    // A command that a later one with a higher token has overtaken is refused too.
+    if (reason === 'superseded') this.host.onSuperseded(token >= this.fencing.current);
   }
 }
--- a/packages/gate/src/WorkerSession.ts
+++ b/packages/gate/src/WorkerSession.ts
@@ -68,6 +68,9 @@
    */
   private isReconciled = false;
 
+  /** True while the worker refuses all commands, since it has received a higher token than this process has sent. */
+  private isSuperseded = false;
+
   private hasEnded = false;
 
   /** The worker has deregistered. It may be active for a while longer. */
@@ -88,7 +91,10 @@
     handover: SessionHandover,
   ) {
     this.identity = { id: report.id, born: report.born };
-    this.commands = WorkerCommands.create(report, handover.token, host);
+    this.commands = WorkerCommands.create(report, handover.token, {
+      ...host,
+      onSuperseded: (isOvertaken) => this.handleSuperseded(isOvertaken),
+    });
     this.lease = WorkerLease.create(report.clock);
   }
 
@@ -126,6 +132,7 @@
     if (this.hasEnded || this.hasLeft) return 'worker gone';
     if (this.report.isLeaving) return 'worker leaving';
     if (this.contact.isSilent) return 'worker silent';
+    if (this.isSuperseded) return 'superseded';
     if (!this.isReconciled) return 'runs unknown';
     if (this.isLeaseWithheld && this.lease.remainingMs < MIN_START_LEASE_MS)
       return 'run not stopped';
@@ -239,6 +246,12 @@
     void this.listRuns(0);
   }
 
+  /** Continues with the tokens of a higher generation of the agent's process. */
+  continueWithGeneration(): void {
+    this.commands.raiseToken();
+    this.verify();
+  }
+
   /**
    * Handles the deregistration of the worker. Its word is no end of its runs: they end once it lists their
    * ends or their lease, which is not extended, has expired.
@@ -355,7 +368,7 @@
     run.unansweredAt = unansweredAt;
     const isUnsettled = () =>
       this.isTracked(run) && run.state === 'starting' && run.unansweredAt === unansweredAt;
-    this.commands.raiseToken(this.lease.workerTime);
+    this.commands.raiseToken();
     if (this.isTracked(run) && !isUnsettled()) this.recordIfUnsettled(run);
     while (isUnsettled()) {
       await this.fetchRunList();
@@ -503,6 +516,7 @@
         }
         const wasUnresponsive = this.contact.isSilent;
         this.recordContact(list.clock);
+        this.isSuperseded = false;
         this.listedAt = performance.now();
         this.settleListedStarts(list);
         list.ended.forEach((end) => this.recordEnd(end.number, end.task, end.run, end.how));
@@ -518,6 +532,17 @@
       });
   }
 
+  private handleSuperseded(isOvertaken: boolean): void {
+    if (this.hasEnded) return;
+    if (isOvertaken && !this.isSuperseded) {
+      this.isSuperseded = true;
+      // Whoever has sent the higher token may have started runs.
+      this.isReconciled = false;
+      this.host.onChanged();
+    }
+    this.host.onSuperseded(isOvertaken);
+  }
+
   private handleCommandAnswer(command: string, answer: CommandResult): void {
     if (this.hasEnded) return;
     match(answer)
--- a/packages/gate/src/constants.ts
+++ b/packages/gate/src/constants.ts
@@ -22,6 +22,9 @@
 /** Pause before a stop or a listing of the runs is repeated, in milliseconds. */
 export const RETRY_PAUSE_MS = 40;
 
+/** Pause after a request for a higher generation before the next one, in milliseconds. */
+export const RENEWAL_PAUSE_MS = 500;
+
 /** Number of consecutive commands without an answer after which the worker counts as unresponsive. */
 export const UNANSWERED_COMMAND_LIMIT = 2;
 
--- a/packages/gate/src/workerSessionHost.ts
+++ b/packages/gate/src/workerSessionHost.ts
@@ -30,8 +30,13 @@
   onStartedLate: (start: UnsettledStart, born: number) => void;
   /** Called when the worker refuses a run as unhealthy. */
   onUnhealthy: (run: Run) => void;
-  /** Called when the worker refuses a command, since it has received a higher fencing token. */
-  onSuperseded: () => void;
+  /** Generation of the agent's process; 0 while it is not known. */
+  generation: () => number;
+  /**
+   * Called when the worker refuses a command, since it has received a higher fencing token. `isOvertaken` tells
+   * whether this process has sent none that is as high.
+   */
+  onSuperseded: (isOvertaken: boolean) => void;
   /** Called when a run makes no progress. */
   onStalled: (run: Run) => void;
   /** Called when the free resources or the availability of the worker have changed. */
--- a/packages/gate/tests/GateAgent.test.ts
+++ b/packages/gate/tests/GateAgent.test.ts
@@ -86,6 +86,7 @@
     worker,
     clock: () => performance.now(),
     log: createLog('agent', 'silent'),
+    renewGeneration: () => Promise.resolve({ type: 'unanswered', detail: 'no store' }),
     meter: {
       assigned: jest.fn(),
       ended: jest.fn(),
--- a/packages/gate/tests/queuedStarts.test.ts
+++ b/packages/gate/tests/queuedStarts.test.ts
@@ -58,6 +58,7 @@
     worker: client,
     clock,
     log: createLog('agent', 'silent'),
+    renewGeneration: () => Promise.resolve({ type: 'unanswered', detail: 'no store' }),
     meter: {
       assigned: jest.fn(),
       ended: jest.fn(),
--- a/packages/protocol/src/registration.ts
+++ b/packages/protocol/src/registration.ts
@@ -15,6 +15,27 @@
   dataCenter: z.string().min(1),
 });
 
+/** Highest generation that a registration may have. */
+const MAX_GENERATION = 80_000_000;
+
+const generationSchema = z.object({
+  /** Number of the process among all that have registered under its name, from 1. */
+  generation: z.number().int().positive().max(MAX_GENERATION),
+  /** Identifier of the process, which tells its own write from that of another. */
+  process: z.string().min(1),
+});
+
+/** The part of a registration that numbers the processes of an agent. */
+export type RegisteredGeneration = z.infer<typeof generationSchema>;
+
+/** Answer to a request for a higher generation. */
+export type GenerationRenewal =
+  | { type: 'renewed'; generation: number }
+  /** Another process has registered under the name since. */
+  | { type: 'replaced' }
+  /** It is not known whether there is a higher generation. */
+  | { type: 'unanswered'; detail: string };
+
 /** A process that is registered in the store. */
 export type RegisteredProcess = z.infer<typeof registrationSchema> & { name: string };
 
@@ -28,20 +49,30 @@
 
 /**
  * @param registered - the process
+ * @param numbered - its generation, if the processes under its name are numbered
  * @returns the value of its registration in the store
  */
-export const encodeRegistration = ({ address, dataCenter }: RegisteredProcess): string =>
-  JSON.stringify({ address, dataCenter });
+export const encodeRegistration = (
+  { address, dataCenter }: RegisteredProcess,
+  numbered?: RegisteredGeneration,
+): string => JSON.stringify({ address, dataCenter, ...numbered });
 
-const decodeRegistration = (text: string): z.infer<typeof registrationSchema> | undefined => {
+const decode = <T>(text: string, schema: z.ZodType<T>): T | undefined => {
   try {
-    const registration = registrationSchema.safeParse(JSON.parse(text));
-    return registration.success ? registration.data : undefined;
+    const parsed = schema.safeParse(JSON.parse(text));
+    return parsed.success ? parsed.data : undefined;
   } catch {
     return undefined;
   }
 };
 
+/**
+ * @param text - value of a registration in the store
+ * @returns the generation in it; `undefined` if it has none or is malformed
+ */
+export const decodeGeneration = (text: string): RegisteredGeneration | undefined =>
+  decode(text, generationSchema);
+
 /** A stored item, of which the revision rises with each change. */
 type RegistrationItem = { key: string; value: string; revision: number };
 
@@ -54,11 +85,11 @@
  */
 export const createRegistrationDecoder = (onInvalid: (key: string) => void) => {
   const decoded = new Map<string, { revision: number; registered?: RegisteredProcess }>();
-  const decode = (prefix: string, { key, value, revision }: RegistrationItem) => {
+  const decodeItem = (prefix: string, { key, value, revision }: RegistrationItem) => {
     const known = decoded.get(key);
     if (known?.revision === revision) return known.registered;
     const name = key.slice(prefix.length);
-    const registration = name === '' ? undefined : decodeRegistration(value);
+    const registration = name === '' ? undefined : decode(value, registrationSchema);
     const registered = registration && { name, ...registration };
     if (!registered) onInvalid(key);
     decoded.set(key, { revision, registered });
@@ -67,7 +98,7 @@
   return (role: ProcessRole, items: Iterable<RegistrationItem>): RegisteredProcess[] => {
     const prefix = registrationKey(role, '');
     return [...items].flatMap((item) => {
-      const registered = item.key.startsWith(prefix) ? decode(prefix, item) : undefined;
+      const registered = item.key.startsWith(prefix) ? decodeItem(prefix, item) : undefined;
       return registered ? [registered] : [];
     });
   };
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,4 +1,5 @@
 export * from './registerProcess';
+export * from './AgentRegistration';
 export * from './createEtcdStore';
 export * from './Store';
 export * from './swap';
--- a/packages/store/src/registerProcess.ts
+++ b/packages/store/src/registerProcess.ts
@@ -1,13 +1,8 @@
-import { encodeRegistration, registrationKey, sleep } from '@marjorammast/protocol';
+import { encodeRegistration, registrationKey } from '@marjorammast/protocol';
 import type { RegisteredProcess, ProcessRole } from '@marjorammast/protocol';
-import type { Log } from '@marjorammast/telemetry';
 import type { KeyValueStore } from './KeyValueStore';
-
-/** Initial retry delay, in milliseconds; it doubles with each failed attempt. */
-const RETRY_MS = 200;
-
-/** Maximum retry delay, in milliseconds. */
-const MAX_RETRY_MS = 3_000;
+import { retryStoreCall } from './retryStoreCall';
+import type { RetryOptions } from './retryStoreCall';
 
 /**
  * Registers a process in the store, where other processes look up its address. Retries until the
@@ -16,25 +11,15 @@
  * @param store - the store
  * @param role - role of the process
  * @param registered - the process to register
- * @param log - logs each failed attempt and the successful write
+ * @param options - dependencies; the log has each failed attempt and the successful write
  */
 export const registerProcess = async (
   store: KeyValueStore,
   role: ProcessRole,
   registered: RegisteredProcess,
-  log: Log,
+  options: RetryOptions,
 ): Promise<void> => {
-  let pauseMs = RETRY_MS;
-  for (;;) {
-    try {
-      await store.write(registrationKey(role, registered.name), encodeRegistration(registered), []);
-      log.info({ address: registered.address }, 'registered');
-      return;
-    } catch (error) {
-      const detail = error instanceof Error ? error.message : String(error);
-      log.warn({ detail, pauseMs }, 'registration_failed');
-      await sleep(pauseMs);
-      pauseMs = Math.min(MAX_RETRY_MS, pauseMs * 2);
-    }
-  }
+  const key = registrationKey(role, registered.name);
+  await retryStoreCall(() => store.write(key, encodeRegistration(registered), []), options);
+  options.log.info({ address: registered.address }, 'registered');
 };
