--- a/marjorammast-app/src/soak/FaultInjector.ts
+++ b/marjorammast-app/src/soak/FaultInjector.ts
@@ -31,6 +31,9 @@
 /** Time from SIGTERM to SIGKILL, in milliseconds. */
 const KILL_DELAY_MS = 6_000;
 
+/** Highest reading with which the clock of a restarted worker begins, in milliseconds. */
+const MAX_CLOCK_START_MS = 1_000_000;
+
 /** Injects single faults into a deployment and undoes them. */
 export class FaultInjector {
   /** Daemons that the test has stopped or killed. */
@@ -198,8 +201,13 @@
   }
 
   private restartWorker({ pick }: Fault): ActiveFault {
-    const index = Math.floor(pick * this.options.deployment.workers.length);
-    this.options.deployment.workers[index]?.restart();
+    const position = pick * this.options.deployment.workers.length;
+    const index = Math.floor(position);
+    const worker = this.options.deployment.workers[index];
+    if (worker) {
+      worker.nextClockStart = Math.floor((position - index) * MAX_CLOCK_START_MS);
+      worker.restart();
+    }
     return { component: `agent-${index}` };
   }
 
--- a/marjorammast-app/tests/dispatchProcesses.test.ts
+++ b/marjorammast-app/tests/dispatchProcesses.test.ts
@@ -213,6 +213,33 @@
     await deployment.waitForWorkers(0, 3);
   });
 
+  // Guards against workers that refuse each later process of their agent (RECOVER): its tokens had followed from the
+  // clock of the worker, which begins at any reading when the worker comes back under its id.
+  it('serve again after all agents were killed, when the workers had come back with lower clocks', async () => {
+    const countSessions = (agent: number) =>
+      readFileSync(join(deployment.logFolder, `agent-${agent}.log`), 'utf8').split('token_chosen')
+        .length;
+    const restartWorkers = async (clockStart: number) => {
+      const before = deployment.workers.map((_, index) => countSessions(index));
+      deployment.workers.forEach((worker) => {
+        worker.nextClockStart = clockStart;
+        worker.restart();
+      });
+      await deployment.waitUntil('sessions with the restarted workers', async () =>
+        before.every((count, index) => countSessions(index) > count),
+      );
+      await deployment.waitForWorkers(0, 3);
+    };
+    await restartWorkers(476_000);
+    await restartWorkers(2_000);
+    const killed = [...deployment.agents];
+    killed.forEach(({ process: child }) => child.kill('SIGKILL'));
+    await Promise.all(killed.map((agent) => deployment.waitForExit(agent)));
+    await Promise.all(killed.map((_, index) => deployment.startAgent(index)));
+    await deployment.waitForWorkers(0, 3);
+    expect(await submit(0, 3, 40)).toMatchObject({ status: 200, body: { state: 'completed' } });
+  });
+
   it('stop the runs whose entry is frozen', async () => {
     const abandoned = submit(0, 3, 3_000).catch(() => undefined);
     await sleep(300);
--- a/packages/standins/src/WorkerStandIn.ts
+++ b/packages/standins/src/WorkerStandIn.ts
@@ -117,6 +117,12 @@
   /** CPU capacity before it shrank, and the monotonic time until which starts may use it. */
   private earlierCapacity = { cpu: 0, until: 0 };
 
+  /** Reading of the worker's clock at the start of its next incarnation, in milliseconds. */
+  nextClockStart = 1;
+
+  /** Reading of the clock at the start of the incarnation, in milliseconds. */
+  private clockStart = 1;
+
   /** Rate of the worker's clock relative to real time. */
   private clockRate = 1;
 
@@ -225,6 +231,7 @@
     this.clockRate = clockRate;
     this.processStartedAt = Math.max(Date.now(), this.processStartedAt + 1);
     this.clockStartedAt = performance.now();
+    this.clockStart = this.nextClockStart;
     this.highestRuns.clear();
     this.endedRuns = [];
     this.lastEndNumber = 0;
@@ -267,7 +274,8 @@
   }
 
   private readClock(): number {
-    return Math.round((performance.now() - this.clockStartedAt) * this.clockRate) + 1;
+    const elapsedMs = performance.now() - this.clockStartedAt;
+    return Math.round(elapsedMs * this.clockRate) + this.clockStart;
   }
 
   private refuse(context: Context, reason: string): Response {
