--- a/packages/dispatch/src/AgentConnection.ts
+++ b/packages/dispatch/src/AgentConnection.ts
@@ -301,6 +301,7 @@
       this.scheduleRenewal(IDLE_RENEW_PERIOD_MS);
       link.onClose(() => this.handleClose(link));
       this.host.log.info({ agent: this.name }, 'agent_attached');
+      this.sendNewerRules(answer.rules);
       this.host.onRules(answer.rules);
       answer.crashes.forEach((crash) => this.host.onCrash(crash));
       this.host.onUnsettled(this.name, answer.unsettled);
@@ -312,6 +313,12 @@
     }
   }
 
+  /** Sends the rules that have become newer than the agent's while the connection was being opened. */
+  private sendNewerRules({ revision }: AdmissionRules): void {
+    const rules = this.host.rules();
+    if (rules.revision > revision) this.sendRules(rules);
+  }
+
   private handleClose(link: Link): void {
     if (this.link !== link) return;
     this.link = undefined;
--- a/packages/dispatch/tests/AgentConnection.test.ts
+++ b/packages/dispatch/tests/AgentConnection.test.ts
@@ -70,6 +70,49 @@
     connection.close();
   });
 
+  // Guards against tasks that an agent starts in a data centre which was taken out while its connection was being opened.
+  it('sends an agent the rules that have become newer while it was attached', async () => {
+    const agentRules = { revision: 3, outDataCenters: [] as string[] };
+    const newerRules = { revision: 4, outDataCenters: ['one'] };
+    let rules = agentRules;
+    const notify = jest.fn();
+    const link = {
+      isOpen: true,
+      call: () => {
+        rules = newerRules;
+        return Promise.resolve({
+          ...{ agent: 'a', dataCenter: 'one', rules: agentRules, view: createView('open') },
+          ...{ crashes: [], unsettled: [], clock: 0 },
+        });
+      },
+      notify,
+      onClose: jest.fn(),
+      close: jest.fn(),
+    } as unknown as Link;
+    const connection = AgentConnection.create(
+      { name: 'a', address: '', dataCenter: 'one' },
+      {
+        entry: 'e',
+        dial: () => Promise.resolve(link),
+        rules: () => rules,
+        hasRuns: () => false,
+        onChange: jest.fn(),
+        onLost: jest.fn(),
+        onRules: jest.fn(),
+        onCrash: jest.fn(),
+        onUnsettled: jest.fn(),
+        random: () => 0,
+        log: createLog('connection', 'silent'),
+      },
+      0,
+    );
+    await new Promise((resolve) => {
+      setTimeout(resolve, 20);
+    });
+    connection.close();
+    expect(notify.mock.calls).toEqual([['rules', newerRules]]);
+  });
+
   // The load: short tasks that are assigned many times a second. A renewal for each of them doubles the
   // messages between entries and agents.
   it('sends no renewal while assignments reach the agent more often than the renewal period', async () => {
