Fix: a data centre that is taken back while all entries are down is used again

What callers see: after the loss of all entries, the workers of a data centre that operators have taken back meanwhile get no work until the next change of the operators.

Rules have the revision of the newest item of the operators. A removal leaves no item, so that entries which start later compute a lower revision than the one that agents still have from the evacuation, and take over the older rules from them.

Change: an entry keeps the revision up to which the store has delivered all changes. Rules of a lower revision can say nothing that it doesn't know: it keeps its own, at its own revision, which the agents accept, and sends nothing if both say the same. Rules of a revision that the store has not delivered are taken over as before.

--- a/marjorammast-app/tests/dispatchProcesses.test.ts
+++ b/marjorammast-app/tests/dispatchProcesses.test.ts
@@ -170,6 +170,31 @@
     await sleep(100);
   });
 
+  // Guards against a data centre that stays out for good: no entry has seen that it was taken back.
+  it('use a data centre again that was taken back while all entries were down', async () => {
+    const countStarts = () =>
+      deployment.workers[0]?.events.filter(({ type }) => type === 'start').length ?? 0;
+    const evacuations = readFileSync(join(deployment.logFolder, 'agent-0.log'), 'utf8').split(
+      'out=north',
+    );
+    deployment.store.put('op/evacuate/north', '{}');
+    await deployment.waitUntil('evacuation known to the agent', async () => {
+      const text = readFileSync(join(deployment.logFolder, 'agent-0.log'), 'utf8');
+      return text.split('out=north').length > evacuations.length;
+    });
+    const killed = [...deployment.entries];
+    killed.forEach(({ process: child }) => child.kill('SIGKILL'));
+    await Promise.all(killed.map((entry) => deployment.waitForExit(entry)));
+    deployment.store.put('op/evacuate/north', undefined);
+    await Promise.all(killed.map((_, index) => deployment.startEntry(index)));
+    await Promise.all(killed.map((_, index) => deployment.waitForWorkers(index, 3)));
+    const before = countStarts();
+    await deployment.waitUntil('starts in the data centre', async () => {
+      await submit(0, 3, 30);
+      return countStarts() > before;
+    });
+  });
+
   it('keep completing jobs while the store is down and after SIGHUP', async () => {
     deployment.store.fault = 'refuse';
     deployment.entries.forEach(({ process: child }) => child.kill('SIGHUP'));
--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -18,6 +18,7 @@
 import { findRoute } from './findRoute';
 import { Forwarding } from './Forwarding';
 import type { ForwardingOptions } from './Forwarding';
+import { isSameSet } from './isSameSet';
 import { unsupportedFeature } from './job';
 import type { JobOutcome, JobRequest } from './job';
 import { PeerClient } from './PeerClient';
@@ -105,6 +106,9 @@
 
   private readonly crashes: CrashController;
 
+  /** Revision up to which the store has delivered all changes to this entry. */
+  private deliveredRevision = 0;
+
   /** Highest store revision of the operator state that another process has reported. */
   private newestKnownRevision = 0;
 
@@ -191,17 +195,19 @@
    * @param storeRevision - revision of the store at which the state was read; omitted for a state
    * that comes from another entry
    */
-  configure(state: OperatorState, storeRevision: number = state.revision): void {
+  configure(state: OperatorState, storeRevision?: number): void {
+    this.deliveredRevision = Math.max(this.deliveredRevision, storeRevision ?? 0);
     const previous = this.operatorState;
     // While the stored configuration is unreadable, the last readable one stays in use.
     const isNewer = state.version > (previous?.version ?? 0);
     const { version, routes } = isNewer || !previous ? state : previous;
     const { outDataCenters } = state;
     // The removal of a key leaves no item with a newer revision. The store's revision is used then.
-    const revision = state.revision > (previous?.revision ?? 0) ? state.revision : storeRevision;
+    const hasNewerItem = state.revision > (previous?.revision ?? 0);
+    const revision = hasNewerItem ? state.revision : (storeRevision ?? state.revision);
     if (previous && revision <= previous.revision) return;
     this.operatorState = { revision, version, routes, outDataCenters };
-    const isUnchanged = previous?.outDataCenters.join() === outDataCenters.join() && !isNewer;
+    const isUnchanged = isSameSet(this.rules.outDataCenters, outDataCenters) && !isNewer;
     if (isUnchanged) return;
     this.options.log.info(
       { revision, version, routes: routes.length, out: outDataCenters.join(',') },
@@ -404,8 +410,7 @@
         operatorState: () => ({ state: this.operatorState }),
         ...this.forwarding?.handlers,
         rules: (rules) => {
-          this.applyRules(rules);
-          void this.catchUp(rules.revision);
+          this.handleRules(rules);
           return {};
         },
       },
@@ -413,6 +418,27 @@
     );
   }
 
+  /**
+   * Handles rules that another process has. Newer ones are taken over, unless the store has delivered all that they
+   * can say: the removal of an item leaves none, so that an entry which starts later has an older revision.
+   */
+  private handleRules(rules: AdmissionRules): void {
+    const isDelivered = this.operatorState && rules.revision < this.deliveredRevision;
+    if (isDelivered) this.confirmRules(rules);
+    else {
+      this.applyRules(rules);
+      void this.catchUp(rules.revision);
+    }
+  }
+
+  /** Keeps what the store has delivered, at a revision that those with the given rules accept. */
+  private confirmRules({ revision, outDataCenters }: AdmissionRules): void {
+    if (revision <= this.rules.revision) return;
+    const own = this.operatorState?.outDataCenters ?? [];
+    if (isSameSet(own, outDataCenters)) this.rules = { ...this.rules, revision };
+    else this.applyRules({ revision: this.deliveredRevision, outDataCenters: [...own] });
+  }
+
   private applyRules(rules: AdmissionRules): void {
     if (rules.revision <= this.rules.revision) return;
     this.rules = rules;
@@ -559,10 +585,7 @@
       onForgotten: (agent) => this.crashes.forgetAgent(agent),
       onCrash: (crash) => this.crashes.handleCrash(crash),
       onUnsettled: (agent, tasks) => this.dispatcher.bindTasks(agent, tasks),
-      onRules: (rules) => {
-        this.applyRules(rules);
-        void this.catchUp(rules.revision);
-      },
+      onRules: (rules) => this.handleRules(rules),
       random,
       log,
     });
--- a/packages/proofs/tests/support/DispatchSimulation.ts
+++ b/packages/proofs/tests/support/DispatchSimulation.ts
@@ -206,7 +206,9 @@
       revision: this.currentState.revision + 1,
     };
     this.entries.forEach((entry, index) => {
-      if (entry.isAlive && !unreachable.includes(index)) entry.node.configure(this.currentState);
+      if (entry.isAlive && !unreachable.includes(index)) {
+        entry.node.configure(this.currentState, this.currentState.revision);
+      }
     });
   }
 
@@ -254,7 +256,7 @@
         dataCenter: this.dataCenterOf(peer),
       })),
     );
-    node.configure(this.currentState);
+    node.configure(this.currentState, this.currentState.revision);
     node.updateAgents(
       this.workers.map((_, agent) => ({
         name: `agent-${agent}`,
