Fix: no clock of a worker takes part in a token once the generation is known

Cause: the first token was the higher of that of the generation and born + clock, so that an odd clock in one report put it above the tokens of many generations to come; each later process would have had to ask for them one by one.

Change: born + clock counts only while the store has not answered.

--- a/packages/gate/src/FencingToken.ts
+++ b/packages/gate/src/FencingToken.ts
@@ -1,3 +1,5 @@
+import type { WorkerReport } from './WorkerClient';
+
 /** Number of tokens of one generation, that is, of one process of the agent. */
 const TOKENS_PER_GENERATION = 100_000_000;
 
@@ -5,18 +7,22 @@
 const HIGHEST_CLOCK_TOKEN = 10_000_000_000_000;
 
 /**
+ * Computes the lowest token that a process may use. Without the store it follows from the start time of the worker
+ * incarnation and its clock: it rises with each process of the agent within one incarnation, but may be lower than a
+ * token of an earlier incarnation, since clocks begin at any reading.
+ *
+ * @param worker - start time of the incarnation, in milliseconds since the Unix epoch, and a reading of its clock, in
+ * milliseconds
  * @param generation - generation of the agent's process; 0 while it is not known
- * @returns the lowest token of the generation; 0 while it is not known
- */
-export const firstTokenOf = (generation: number): number =>
-  generation === 0 ? 0 : HIGHEST_CLOCK_TOKEN + generation * TOKENS_PER_GENERATION;
-
-/**
- * Computes a token without the store, from the start time of a worker incarnation and a reading of its clock. It
- * rises with each process of the agent within one incarnation. Clocks begin at any reading, so that it may be lower
- * than one of an earlier incarnation.
+ * @returns the token
  */
-const clockTokenAt = (born: number, clock: number): number => Math.floor(born + clock);
+export const lowestToken = (
+  { born, clock }: Pick<WorkerReport, 'born' | 'clock'>,
+  generation: number,
+): number =>
+  generation > 0
+    ? HIGHEST_CLOCK_TOKEN + generation * TOKENS_PER_GENERATION
+    : Math.floor(born + clock);
 
 /**
  * Fencing token of the commands to one incarnation of a worker: the order of the agent's processes, and within one
@@ -30,19 +36,11 @@
   }
 
   /**
-   * @param born - start time of the incarnation, in milliseconds since the Unix epoch
-   * @param clock - a reading of the worker's clock, in milliseconds
-   * @param generation - generation of the agent's process; 0 while it is not known
+   * @param lowest - lowest token that this process may use
    * @param highestEarlier - highest token that an earlier incarnation may have received from this process
    * @returns a token above all earlier ones that this process can know of
    */
-  static create(
-    born: number,
-    clock: number,
-    generation: number,
-    highestEarlier: number,
-  ): FencingToken {
-    const lowest = Math.max(clockTokenAt(born, clock), firstTokenOf(generation));
+  static create(lowest: number, highestEarlier: number): FencingToken {
     return new FencingToken(Math.max(lowest, highestEarlier + 1));
   }
 
@@ -59,20 +57,19 @@
   /**
    * Raises the token, so that the worker refuses the commands sent before.
    *
-   * @param lowest - lowest token to continue with
+   * @param lowest - lowest token that this process may use
    */
-  raise(lowest = 0): void {
+  raise(lowest: number): void {
     this.token = Math.max(this.token + 1, lowest);
     this.highestSent = Math.max(this.highestSent, this.token);
   }
 
   /**
-   * @param born - start time of the next incarnation, in milliseconds since the Unix epoch
-   * @param clock - a reading of its clock, in milliseconds
+   * @param lowest - lowest token that this process may use with the next incarnation
    * @returns the token for the first command to it, above that of any command before
    */
-  forNextIncarnation(born: number, clock: number): number {
-    this.highestSent = Math.max(this.highestSent + 1, clockTokenAt(born, clock));
+  forNextIncarnation(lowest: number): number {
+    this.highestSent = Math.max(this.highestSent + 1, lowest);
     return this.highestSent;
   }
 }
--- a/packages/gate/src/WorkerCommands.ts
+++ b/packages/gate/src/WorkerCommands.ts
@@ -1,7 +1,7 @@
 import { taskKey } from '@marjorammast/protocol';
 import type { TaskId } from '@marjorammast/protocol';
 import type { Log } from '@marjorammast/telemetry';
-import { FencingToken, firstTokenOf } from './FencingToken';
+import { FencingToken, lowestToken } from './FencingToken';
 import type {
   CommandResult,
   HoldCommand,
@@ -35,7 +35,7 @@
 /** The commands of an agent to one incarnation of its worker, with their fencing token. */
 export class WorkerCommands {
   private constructor(
-    private readonly identity: WorkerIdentity,
+    private readonly report: WorkerReport,
     private readonly fencing: FencingToken,
     private readonly host: WorkerCommandsHost,
   ) {}
@@ -47,16 +47,22 @@
    * @returns commands with a token above the earlier ones
    */
   static create(
-    { id, born, clock }: WorkerReport,
+    report: WorkerReport,
     highestEarlier: number,
     host: WorkerCommandsHost,
   ): WorkerCommands {
     const generation = host.generation();
-    const fencing = FencingToken.create(born, clock, generation, highestEarlier);
+    const fencing = FencingToken.create(lowestToken(report, generation), highestEarlier);
+    const { id, born, clock } = report;
     const { current: token } = fencing;
     const fields = { worker: id, born, clock, generation, token, earlier: highestEarlier };
     host.log.info(fields, 'token_chosen');
-    return new WorkerCommands({ id, born }, fencing, host);
+    return new WorkerCommands(report, fencing, host);
+  }
+
+  private get identity(): WorkerIdentity {
+    const { id, born } = this.report;
+    return { id, born };
   }
 
   /** Token of the next command. */
@@ -71,7 +77,7 @@
 
   /** Raises the token, so that the worker refuses the commands sent before. */
   raiseToken(): void {
-    this.fencing.raise(firstTokenOf(this.host.generation()));
+    this.fencing.raise(lowestToken(this.report, this.host.generation()));
   }
 
   /**
@@ -125,9 +131,10 @@
    *
    * @param list - the list with which the next incarnation has answered
    */
-  fenceNextIncarnation({ born, clock }: RunList): void {
+  fenceNextIncarnation(list: RunList): void {
+    const { born } = list;
     const worker = { ...this.identity, born };
-    const token = this.fencing.forNextIncarnation(born, clock);
+    const token = this.fencing.forNextIncarnation(lowestToken(list, this.host.generation()));
     void this.host.worker.hold({ worker, token, lastEnd: 0, waitMs: 0 }).then((answer) => {
       this.host.log.info({ born, answer: answer.type, token }, 'next_life_fenced');
     });
--- a/packages/gate/tests/sessionTokens.test.ts
+++ b/packages/gate/tests/sessionTokens.test.ts
@@ -1,5 +1,5 @@
 import { WorkerSession } from '../src/WorkerSession';
-
+import type { WorkerReport } from '../src/WorkerClient';
 import { BORN, CLOCK, createFixture, createRun, report } from './createSessionFixture';
 
 const advance = (ms: number) => jest.advanceTimersByTimeAsync(ms);
@@ -54,6 +54,18 @@
     fixture.session.end();
   });
 
+  // Guards against a worker with an odd clock, after which no later process of the agent would be obeyed.
+  it('takes nothing from the clocks of workers once the generation is known', async () => {
+    const fixture = createFixture();
+    fixture.generation = 1;
+    fixture.session.continueWithGeneration();
+    const odd = { ...report, clock: Number.MAX_SAFE_INTEGER / 2 };
+    const tokenOf = (first: WorkerReport) =>
+      WorkerSession.create(first, fixture.host, { token: 0, unconfirmed: [] }).end().token;
+    expect(tokenOf(odd)).toBe(tokenOf(report));
+    fixture.session.end();
+  });
+
   // Guards against work that is sent to an agent whose worker refuses each of its commands.
   it('is closed as superseded until it continues with a higher generation', async () => {
     const fixture = createFixture();
