--- a/packages/dispatch/tests/AgentConnection.test.ts
+++ b/packages/dispatch/tests/AgentConnection.test.ts
@@ -1,6 +1,6 @@
 import { createLog } from '@marjorammast/telemetry';
 import { NO_RESOURCES } from '@marjorammast/protocol';
-import type { Link, WorkerView } from '@marjorammast/protocol';
+import type { AdmissionRules, Link, WorkerView } from '@marjorammast/protocol';
 import { AgentConnection } from '../src/AgentConnection';
 import type { Assignment } from '../src/AgentConnection';
 
@@ -15,6 +15,30 @@
   incarnation: 'i-1@1',
 });
 
+/** Creates the connection of an entry to an agent. */
+const connect = (
+  link: Link,
+  rules: () => AdmissionRules,
+  hasRuns: () => boolean,
+): AgentConnection =>
+  AgentConnection.create(
+    { name: 'a', address: '', dataCenter: 'one' },
+    {
+      entry: 'e',
+      dial: () => Promise.resolve(link),
+      rules,
+      hasRuns,
+      onChange: jest.fn(),
+      onLost: jest.fn(),
+      onRules: jest.fn(),
+      onCrash: jest.fn(),
+      onUnsettled: jest.fn(),
+      random: () => 0,
+      log: createLog('connection', 'silent'),
+    },
+    0,
+  );
+
 describe('AgentConnection', () => {
   // An agent's next view may arrive in the same packet as its answer to `attach` and be handled
   // before that answer. An entry that dropped such a view treated the worker as closed until the view
@@ -43,22 +67,10 @@
       onClose: jest.fn(),
       close: jest.fn(),
     } as unknown as Link;
-    const connection = AgentConnection.create(
-      { name: 'a', address: '', dataCenter: 'one' },
-      {
-        entry: 'e',
-        dial: () => Promise.resolve(link),
-        rules: () => rules,
-        hasRuns: () => false,
-        onChange: jest.fn(),
-        onLost: jest.fn(),
-        onRules: jest.fn(),
-        onCrash: jest.fn(),
-        onUnsettled: jest.fn(),
-        random: () => 0,
-        log: createLog('connection', 'silent'),
-      },
-      0,
+    const connection = connect(
+      link,
+      () => rules,
+      () => false,
     );
     deliverView = () => {
       if (connection.usesLink(link)) connection.updateView(createView('open'));
@@ -89,22 +101,10 @@
       onClose: jest.fn(),
       close: jest.fn(),
     } as unknown as Link;
-    const connection = AgentConnection.create(
-      { name: 'a', address: '', dataCenter: 'one' },
-      {
-        entry: 'e',
-        dial: () => Promise.resolve(link),
-        rules: () => rules,
-        hasRuns: () => false,
-        onChange: jest.fn(),
-        onLost: jest.fn(),
-        onRules: jest.fn(),
-        onCrash: jest.fn(),
-        onUnsettled: jest.fn(),
-        random: () => 0,
-        log: createLog('connection', 'silent'),
-      },
-      0,
+    const connection = connect(
+      link,
+      () => rules,
+      () => false,
     );
     await new Promise((resolve) => {
       setTimeout(resolve, 20);
@@ -141,22 +141,10 @@
       close: jest.fn(),
     } as unknown as Link;
     const state = { hasRuns: true };
-    const connection = AgentConnection.create(
-      { name: 'a', address: '', dataCenter: 'one' },
-      {
-        entry: 'e',
-        dial: () => Promise.resolve(link),
-        rules: () => rules,
-        hasRuns: () => state.hasRuns,
-        onChange: jest.fn(),
-        onLost: jest.fn(),
-        onRules: jest.fn(),
-        onCrash: jest.fn(),
-        onUnsettled: jest.fn(),
-        random: () => 0,
-        log: createLog('connection', 'silent'),
-      },
-      0,
+    const connection = connect(
+      link,
+      () => rules,
+      () => state.hasRuns,
     );
     const countRenewals = () => calls.filter((method) => method === 'renew').length;
     const assign = () =>
--- a/packages/proofs/tests/fencing.test.ts
+++ b/packages/proofs/tests/fencing.test.ts
@@ -31,6 +31,19 @@
   return { simulation, worker };
 };
 
+/** Kills the agent and starts it again. */
+const restartAgent = async (simulation: DispatchSimulation) => {
+  simulation.killAgent(0);
+  await advance(300);
+  simulation.startAgent(0);
+};
+
+/** Sends a job and waits until it is over. */
+const sendJob = async (simulation: DispatchSimulation, digit: string) => {
+  void simulation.send(createJob(digit), 0);
+  await advance(1_000);
+};
+
 const outcomes = ({ answers }: DispatchSimulation) => answers.map(({ outcome }) => outcome.type);
 
 describe('the fencing token of an agent', () => {
@@ -47,12 +60,9 @@
     const { simulation, worker } = await createSimulation();
     worker.restart();
     await advance(1_500);
-    simulation.killAgent(0);
-    await advance(300);
-    simulation.startAgent(0);
+    await restartAgent(simulation);
     await advance(3_000);
-    void simulation.send(createJob('a'), 0);
-    await advance(1_000);
+    await sendJob(simulation, 'a');
     simulation.halt();
     expect(outcomes(simulation)).toEqual(['completed']);
   });
@@ -72,8 +82,7 @@
     simulation.startAgent(0);
     simulation.startEntry(0);
     await advance(6_000);
-    void simulation.send(createJob('b'), 0);
-    await advance(1_000);
+    await sendJob(simulation, 'b');
     simulation.halt();
     expect(simulation.runs.filter(({ task }) => task.startsWith('a'))).toEqual([]);
     expect(outcomes(simulation)).toEqual(['completed']);
@@ -116,8 +125,7 @@
     await advance(300);
     simulation.startAgent(0);
     await advance(3_000);
-    void simulation.send(createJob('a'), 0);
-    await advance(1_000);
+    await sendJob(simulation, 'a');
     simulation.halt();
     expect(outcomes(simulation)).toEqual(['completed']);
   });
@@ -128,14 +136,11 @@
     worker.restart();
     await advance(1_500);
     simulation.store.isDown = true;
-    simulation.killAgent(0);
-    await advance(300);
-    simulation.startAgent(0);
+    await restartAgent(simulation);
     await advance(4_000);
     simulation.store.isDown = false;
     await advance(2_500);
-    void simulation.send(createJob('a'), 0);
-    await advance(1_000);
+    await sendJob(simulation, 'a');
     simulation.halt();
     expect(outcomes(simulation)).toEqual(['completed']);
   });
