--- a/packages/proofs/tests/support/dispatchSchedule.ts
+++ b/packages/proofs/tests/support/dispatchSchedule.ts
@@ -140,6 +140,12 @@
 /** Longest wait of a task at an agent, in milliseconds. */
 const MAX_QUEUE_MS = 200;
 
+/**
+ * Factor from the duration of a fault to the reading with which the clock of a worker begins that restarts during it:
+ * clocks begin at any reading.
+ */
+const CLOCK_START_FACTOR = 250;
+
 /** Step by which the fake time advances, in milliseconds. */
 const STEP_MS = 10;
 
@@ -342,6 +348,7 @@
   const nextEntry = `entry-${(other + 1) % simulation.entries.length}`;
   const agent = `agent-${node}`;
   const worker = simulation.workers[node];
+  if (worker) worker.nextClockStart = forMs * CLOCK_START_FACTOR;
   const leave = (isAnswerLost: boolean): void => {
     if (worker && isOn) worker.isLeaving = true;
     else simulation.deregister(node, isAnswerLost);
