--- a/packages/gate/src/FencingToken.ts
+++ b/packages/gate/src/FencingToken.ts
@@ -3,7 +3,7 @@
 /** Number of tokens of one generation, that is, of one process of the agent. */
 const TOKENS_PER_GENERATION = 100_000_000;
 
-/** Tokens of generations are above this one, and with it above those that are computed from clocks. */
+/** Tokens that are computed from clocks are below this one, those of generations above it. */
 const HIGHEST_CLOCK_TOKEN = 10_000_000_000_000;
 
 /**
@@ -25,8 +25,8 @@
     : Math.floor(born + clock);
 
 /**
- * Fencing token of the commands to one incarnation of a worker: the order of the agent's processes, and within one
- * process of what it knows. It rises after each start without an answer.
+ * Fencing token of the commands to one incarnation of a worker. The generation orders the processes of the agent;
+ * within one process, the token rises with each incarnation and after each start without an answer.
  */
 export class FencingToken {
   private highestSent: number;
