Read-through: the name of repeated registrations, a line for a missing generation

retryStoreCall did more than its name: it repeats registrations and logs them so; it is repeatRegistration now. A registration without a readable generation was taken for none without a word; it is logged (generation_missing). Comments say why AgentRegistration doesn't use swap, and why a token of another worker is dropped. Nothing else decides differently.

--- a/packages/gate/src/GateAgent.ts
+++ b/packages/gate/src/GateAgent.ts
@@ -336,8 +336,8 @@
 
   /**
    * Commands name the id of their worker, so that one under another id refuses all that were sent before: they are
-   * not carried out any more, and their tokens say nothing to it. The next process of the agent may have to do
-   * without the store, so that it can compute only a token that follows from the present worker.
+   * not carried out any more. A token that follows from the clock of one worker says nothing to another, and might be
+   * above all that the next process of the agent computes while the store does not answer.
    */
   private dropHandoverOfOtherWorker(id: string): void {
     if (id === this.lastWorkerId) return;
--- a/packages/store/src/AgentRegistration.ts
+++ b/packages/store/src/AgentRegistration.ts
@@ -2,7 +2,7 @@
 import type { GenerationRenewal, RegisteredProcess } from '@marjorammast/protocol';
 import type { Log } from '@marjorammast/telemetry';
 import type { KeyValueStore } from './KeyValueStore';
-import { retryStoreCall } from './retryStoreCall';
+import { repeatRegistration } from './repeatRegistration';
 import type { StoredValue } from './Store';
 
 /** Dependencies of the registration of an agent. */
@@ -23,7 +23,8 @@
 /**
  * Registration of an agent in the store. It numbers the processes of the agent: each writes the generation above the
  * one that it finds, on condition that nobody has written in between. So the last to register has the highest
- * generation, and a process that was paused or replaced can't get one above it.
+ * generation, and a process that was paused or replaced can't get one above it. A write that fails is repeated after
+ * another read and a growing pause, not at once as by `swap`: all agents of a deployment may start together.
  */
 export class AgentRegistration {
   private written: Written | undefined;
@@ -49,7 +50,7 @@
    */
   async register(): Promise<number> {
     const { agent, random, log } = this.options;
-    const generation = await retryStoreCall(() => this.claim(), { random, log });
+    const generation = await repeatRegistration(() => this.claim(), { random, log });
     log.info({ address: agent.address, generation }, 'registered');
     return generation;
   }
@@ -78,6 +79,7 @@
     const own = this.takeOver(found);
     if (own !== undefined) return own;
     const last = found && decodeGeneration(found.value);
+    if (found && !last) this.options.log.warn({ key: this.key }, 'generation_missing');
     return this.write((last?.generation ?? 0) + 1, found?.revision ?? 0);
   }
 
--- a/packages/store/src/registerProcess.ts
+++ b/packages/store/src/registerProcess.ts
@@ -1,8 +1,8 @@
 import { encodeRegistration, registrationKey } from '@marjorammast/protocol';
 import type { RegisteredProcess, ProcessRole } from '@marjorammast/protocol';
 import type { KeyValueStore } from './KeyValueStore';
-import { retryStoreCall } from './retryStoreCall';
-import type { RetryOptions } from './retryStoreCall';
+import { repeatRegistration } from './repeatRegistration';
+import type { RetryOptions } from './repeatRegistration';
 
 /**
  * Registers a process in the store, where other processes look up its address. Retries until the
@@ -20,6 +20,6 @@
   options: RetryOptions,
 ): Promise<void> => {
   const key = registrationKey(role, registered.name);
-  await retryStoreCall(() => store.write(key, encodeRegistration(registered), []), options);
+  await repeatRegistration(() => store.write(key, encodeRegistration(registered), []), options);
   options.log.info({ address: registered.address }, 'registered');
 };
--- a/packages/store/src/retryStoreCall.ts
+++ b/packages/store/src/repeatRegistration.ts
@@ -7,7 +7,7 @@
 /** Maximum retry delay, in milliseconds: until it is registered, an agent may not reach its worker. */
 const MAX_RETRY_MS = 1_000;
 
-/** Dependencies of {@link retryStoreCall}. */
+/** Dependencies of {@link repeatRegistration}. */
 export type RetryOptions = {
   /** Uniform random numbers in [0, 1): processes that start together do not retry together. */
   random: () => number;
@@ -22,7 +22,7 @@
  * @param options - dependencies
  * @returns the result of the attempt that succeeded
  */
-export const retryStoreCall = async <T>(
+export const repeatRegistration = async <T>(
   attempt: () => Promise<T | undefined>,
   { random, log }: RetryOptions,
 ): Promise<T> => {
