--- a/marjorammast-app/tests/dispatchProcesses.test.ts
+++ b/marjorammast-app/tests/dispatchProcesses.test.ts
@@ -257,11 +257,15 @@
     };
     await restartWorkers(476_000);
     await restartWorkers(2_000);
-    const killed = [...deployment.agents];
-    killed.forEach(({ process: child }) => child.kill('SIGKILL'));
-    await Promise.all(killed.map((agent) => deployment.waitForExit(agent)));
-    await Promise.all(killed.map((_, index) => deployment.startAgent(index)));
-    await deployment.waitForWorkers(0, 3);
+    const restartAgents = async () => {
+      const killed = [...deployment.agents];
+      killed.forEach(({ process: child }) => child.kill('SIGKILL'));
+      await Promise.all(killed.map((agent) => deployment.waitForExit(agent)));
+      await Promise.all(killed.map((_, index) => deployment.startAgent(index)));
+      await deployment.waitForWorkers(0, 3);
+    };
+    await restartAgents();
+    await restartAgents();
     expect(await submit(0, 3, 40)).toMatchObject({ status: 200, body: { state: 'completed' } });
   });
 
--- a/packages/proofs/tests/fencing.test.ts
+++ b/packages/proofs/tests/fencing.test.ts
@@ -31,11 +31,25 @@
   return { simulation, worker };
 };
 
-/** Kills the agent and starts it again. */
-const restartAgent = async (simulation: DispatchSimulation) => {
-  simulation.killAgent(0);
+/** Kills agents and starts them again. */
+const restartAgents = async (simulation: DispatchSimulation, agents: readonly number[]) => {
+  agents.forEach((agent) => simulation.killAgent(agent));
   await advance(300);
-  simulation.startAgent(0);
+  agents.forEach((agent) => simulation.startAgent(agent));
+};
+
+/** Crashes all workers once for each reading with which their clocks begin. */
+const crashWorkers = async (
+  simulation: DispatchSimulation,
+  [clockStart, ...rest]: readonly number[],
+): Promise<void> => {
+  if (clockStart === undefined) return;
+  simulation.workers.forEach((worker) => {
+    Object.assign(worker, { nextClockStart: clockStart });
+    worker.restart();
+  });
+  await advance(1_500);
+  await crashWorkers(simulation, rest);
 };
 
 /** Sends a job and waits until it is over. */
@@ -60,13 +74,60 @@
     const { simulation, worker } = await createSimulation();
     worker.restart();
     await advance(1_500);
-    await restartAgent(simulation);
+    await restartAgents(simulation, [0]);
     await advance(3_000);
     await sendJob(simulation, 'a');
     simulation.halt();
     expect(outcomes(simulation)).toEqual(['completed']);
   });
 
+  describe.each([
+    ['lower each time', [900_000, 476_000, 60_000, 2_000]],
+    ['far higher each time', [2_000, 476_000, 90_000_000, 1_800_000_000_000]],
+    ['lower and higher by turns', [476_000, 2_000, 1_800_000_000_000, 1]],
+  ])('after crashes of the worker with clocks that begin %s', (_, clockStarts) => {
+    // Guards against the same fault after any series of clocks, and against one that only the first restart is spared.
+    it.each([
+      ['its agent alone', [0]],
+      ['all agents', [0, 1, 2]],
+    ])('is accepted after two restarts of %s in a row', async (__, restarted) => {
+      const simulation = DispatchSimulation.create(1, 1, 3);
+      await advance(1_000);
+      await crashWorkers(simulation, clockStarts);
+      await restartAgents(simulation, restarted);
+      await advance(1_000);
+      await restartAgents(simulation, restarted);
+      await advance(3_000);
+      // The tasks fill all three workers.
+      void simulation.send({ ...createJob('a'), tasks: 9, spec: { runMs: 100, cpu: 1_000 } }, 0);
+      await advance(1_000);
+      simulation.halt();
+      expect(outcomes(simulation)).toEqual(['completed']);
+      expect(new Set(simulation.runs.map(({ worker }) => worker)).size).toBe(3);
+      expect(checkDispatchGuarantees(simulation)).toEqual([]);
+    });
+  });
+
+  // Guards against a second run of a task: a start of an earlier process is on its way when the next one has listed the
+  // runs, and its lease counts from its arrival.
+  it('fences off a delayed start of an earlier process, to the same incarnation', async () => {
+    const { simulation, worker } = await createSimulation();
+    worker.countsLateLeasesFromArrival = true;
+    worker.lateDelaysMs = [6_000, 6_000];
+    worker.lateShares = { start: 1 };
+    void simulation.send(createJob('a'), 0, GIVE_UP_MS);
+    await advance(100);
+    worker.lateShares = {};
+    simulation.killEntry(0);
+    await restartAgents(simulation, [0]);
+    simulation.startEntry(0);
+    await advance(7_000);
+    await sendJob(simulation, 'b');
+    simulation.halt();
+    expect(simulation.runs.filter(({ task }) => task.startsWith('a'))).toEqual([]);
+    expect(outcomes(simulation)).toEqual(['completed']);
+  });
+
   // Guards against a second run of a task: the start of an earlier process, sent to an earlier incarnation, is late.
   it('fences off a delayed start of an earlier process, to an incarnation whose clock was higher', async () => {
     const { simulation, worker } = await createSimulation();
@@ -136,7 +197,7 @@
     worker.restart();
     await advance(1_500);
     simulation.store.isDown = true;
-    await restartAgent(simulation);
+    await restartAgents(simulation, [0]);
     await advance(4_000);
     simulation.store.isDown = false;
     await advance(2_500);
