--- a/review/support-3/deployment.mjs
+++ b/review/support-3/deployment.mjs
@@ -69,6 +69,8 @@
     this.workers = [];
     this.folder = mkdtempSync(join(tmpdir(), 'review-3-'));
     this.commands = readCommands();
+    // Nothing stays behind when the script ends early.
+    process.once('exit', () => this.processes.forEach((child) => child.kill('SIGKILL')));
   }
 
   async start() {
--- a/review/support-3/main.mjs
+++ b/review/support-3/main.mjs
@@ -3,8 +3,6 @@
 import { ScriptRecord } from './record.mjs';
 import { Deployment } from './deployment.mjs';
 
-const MAX_MS = 110_000;
-
 const BROKEN = 1;
 const NOT_RUN = 2;
 
@@ -21,24 +19,27 @@
 export const playCase = async (file, options, play) => {
   const record = new ScriptRecord();
   const deployment = new Deployment(record, options);
-  const timer = setTimeout(() => {
-    record.note('the script took too long');
+  let isAbandoned = false;
+  const abandon = (signal) => {
+    isAbandoned = true;
+    record.note(`the script got ${signal}`);
     record.write(file);
     process.exitCode = NOT_RUN;
     deployment.stop().catch((error) => record.note(String(error)));
-  }, MAX_MS);
+  };
+  // run.sh sends SIGTERM when the script takes too long, and SIGKILL some seconds later.
+  ['SIGINT', 'SIGTERM', 'SIGHUP'].forEach((signal) => process.once(signal, abandon));
   try {
     await deployment.start();
     const breaches = await play(deployment, record);
     breaches.forEach((breach) => record.note(`BROKEN: ${breach}`));
     if (breaches.length === 0) record.note('the rule held');
-    process.exitCode = breaches.length > 0 ? BROKEN : 0;
+    if (!isAbandoned) process.exitCode = breaches.length > 0 ? BROKEN : 0;
   } catch (error) {
     record.note(`not run: ${error.stack}`);
     process.exitCode = NOT_RUN;
   }
   await deployment.stop();
-  clearTimeout(timer);
   record.write(file);
   process.stdout.write(`${record.lines.slice(-12).join('\n')}\n`);
 };
