--- a/review/support-3/deployment.mjs
+++ b/review/support-3/deployment.mjs
@@ -125,6 +125,17 @@
     child.kill('SIGKILL');
   }
 
+  /** Stops a daemon and lets it go on after the given time. */
+  freeze(name, ms) {
+    const child = this.processes.get(name);
+    this.record.note(`SIGSTOP to ${name}`);
+    child.kill('SIGSTOP');
+    setTimeout(() => {
+      this.record.note(`SIGCONT to ${name}`);
+      child.kill('SIGCONT');
+    }, ms);
+  }
+
   /** Machines of which a process has ended by itself at least so often. */
   machinesWithOwnEnds(times) {
     return [...this.ownEnds].filter(([, ends]) => ends >= times).map(([name]) => name);
