Fix: an entry that was paused runs a job only if no other entry has it

Cause: an entry takes what it reads for new. TCP sends what a suspended VM has not acknowledged again after 0.2, 0.6, 1.4, 3.0 s, so that a request may be as old as the pause when it arrives, and the end of its connection follows later, by a time that nothing bounds. One more poll of the sockets (waitForPoll) helps only if both have arrived.

Ruled out: a longer wait (no bound holds), a refusal of all that comes on old connections (jobs that are sent after the pause would be lost), the time that is left to the deadline (a request does not tell when it was sent).

Change: PauseDetector notices that the process stood still (either clock, less the processor time used). What comes on a connection that is older than the end of the pause is doubtful for as long as TCP may send it again. The entry claims such a job at all other entries before a task starts. One that knows the job says so, and this entry answers 504; one that does not records the claim, and makes this entry end the job, with its runs, if it is submitted there later. While an entry does not answer, the job is refused at once: it has not run. New connections are not concerned. Open jobs whose deadline may have passed in a suspension are held until they are confirmed in the same way. Log lines paused, job_claimed, claim_released, claim_not_released, claims_lost, claim_unanswered; counters of pauses and of claimed jobs.

--- a/marjorammast-app/src/dispatchEntry.ts
+++ b/marjorammast-app/src/dispatchEntry.ts
@@ -33,6 +33,10 @@
   ]);
   const traffic = { sentBytes: 0, receivedBytes: 0, messages: 0 };
   const forwarded = metrics.counter('marjorammast_forwarded', 'Jobs forwarded', ['answer']);
+  const pauses = metrics.counter('marjorammast_pauses', 'Pauses of the process', []);
+  const claims = metrics.counter('marjorammast_claimed_jobs', 'Jobs read after a pause', [
+    'verdict',
+  ]);
   const { forwarding, processorCores } = settings;
   const entry = DispatchEntry.create({
     name,
@@ -40,7 +44,12 @@
     dial: (address, server) => dial(address, server, traffic),
     random: Math.random,
     log,
-    meter: { answered: (route, outcome, ms) => answerTimes.observe({ route, outcome }, ms) },
+    meter: {
+      answered: (route, outcome, ms) => answerTimes.observe({ route, outcome }, ms),
+      paused: () => pauses.inc({}),
+      claimed: (verdict) => claims.inc({ verdict }),
+    },
+    readProcessorMs: () => readProcessUsage().processorMs,
     forwarding: forwarding && {
       ...forwarding,
       processorCores: processorCores.cores * processorCores.share,
--- a/marjorammast-app/src/gateAgent.ts
+++ b/marjorammast-app/src/gateAgent.ts
@@ -1,7 +1,7 @@
 import { randomBytes } from 'node:crypto';
-import { GateAgent, createSuspendAwareClock, robustSlowness } from '@marjorammast/gate';
+import { GateAgent, robustSlowness } from '@marjorammast/gate';
 import { createPlatformStore, createWorkerClient, serveWorkerApi } from '@marjorammast/platform';
-import { listen } from '@marjorammast/protocol';
+import { createSuspendAwareClock, listen } from '@marjorammast/protocol';
 import { gateSettingsSchema } from '@marjorammast/settings';
 import { AgentRegistration } from '@marjorammast/store';
 import { createPrometheusMetrics } from '@marjorammast/telemetry';
--- a/packages/dispatch/src/ActiveJob.ts
+++ b/packages/dispatch/src/ActiveJob.ts
@@ -40,6 +40,8 @@
 
   private doneCount = 0;
 
+  private isHeld = false;
+
   private readonly waiters: ((outcome: JobOutcome) => void)[] = [];
 
   private outcome: JobOutcome | undefined;
@@ -81,10 +83,21 @@
 
   /** False while it is not certain that the job is wanted, or while earlier runs of it may be active elsewhere. */
   get mayStart(): boolean {
-    if (performance.now() < this.notBefore) return false;
+    const now = performance.now();
+    if (this.isHeld || now < this.notBefore) return false;
     return this.startGuards.size === 0 || [...this.startGuards].some((isWanted) => isWanted());
   }
 
+  /** Lets no task start until {@link unhold} is called. */
+  hold(): void {
+    this.isHeld = true;
+  }
+
+  /** Ends {@link hold}. */
+  unhold(): void {
+    this.isHeld = false;
+  }
+
   /** True until the job is answered. */
   get isOpen(): boolean {
     return this.outcome === undefined;
--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -21,12 +21,20 @@
 import { isSameSet } from './isSameSet';
 import { unsupportedFeature } from './job';
 import type { JobOutcome, JobRequest } from './job';
+import type { ClaimVerdict } from './JobClaims';
+import { JobConfirmation } from './JobConfirmation';
 import { PeerClient } from './PeerClient';
 import type { PlacementOptions } from './ScarcePlacement';
 import type { Queueing } from './placeWaitingTasks';
 
 /** Receives the measurements of an entry. `ms` is the time to answer a job, in milliseconds. */
-export type EntryMeter = { answered: (route: string, outcome: string, ms: number) => void };
+export type EntryMeter = {
+  answered: (route: string, outcome: string, ms: number) => void;
+  /** Called with the length of each pause of the process, in milliseconds. */
+  paused?: (ms: number) => void;
+  /** Called for each job that may be an old copy, with what the other entries know of it. */
+  claimed?: (verdict: ClaimVerdict) => void;
+};
 
 /** Identity and dependencies of an entry. */
 export type DispatchEntryOptions = {
@@ -37,6 +45,8 @@
   random: () => number;
   log: Log;
   meter: EntryMeter;
+  /** Reads the processor time that this process has used, in milliseconds; taken for unused if absent. */
+  readProcessorMs?: () => number;
   /** How jobs are forwarded between entries; absent when they are not. */
   forwarding?: ForwardingOptions;
   /** How tasks are placed on workers of different speed; fast workers come first if absent. */
@@ -53,6 +63,11 @@
   remainingMs: number;
   /** Aborts when the client disconnects before it gets an answer. */
   signal: AbortSignal;
+  /**
+   * Monotonic time at which the client's connection was accepted, in milliseconds; absent when the submission does not
+   * come from a socket.
+   */
+  connectedAt?: number;
   /** Set for a job that another entry has forwarded: true while that entry certainly wants it. */
   mayStart?: () => boolean;
 };
@@ -102,6 +117,8 @@
 
   private readonly forwarding: Forwarding | undefined;
 
+  private readonly confirmation: JobConfirmation;
+
   private registeredPeers: readonly RegisteredProcess[] = [];
 
   private readonly crashes: CrashController;
@@ -120,6 +137,7 @@
   private isClosed = false;
 
   private constructor(private readonly options: DispatchEntryOptions) {
+    this.confirmation = this.createConfirmation();
     this.forwarding = options.forwarding && this.createForwarding(options.forwarding);
     this.server = this.createServer();
     this.crashes = CrashController.create({
@@ -136,6 +154,7 @@
       crashRecords: this.crashes.records,
       confinement: this.crashes.confinement,
       queueing: options.queueing,
+      beforePass: () => this.confirmation.checkPause(),
       random: options.random,
       log: options.log,
       placement: options.placement,
@@ -256,11 +275,13 @@
   async submit(submission: Submission): Promise<JobOutcome> {
     const { job: request, route, mayStart } = submission;
     const startedAt = performance.now();
+    this.confirmation.recordSubmission(request.id);
     const outcome =
       this.refuseIfClosed(request) ??
       this.refuseUnsupported(request) ??
       this.crashes.findFailure(request.id) ??
-      (await this.runJob(submission));
+      (await this.confirmAndRun(submission));
+    this.confirmation.forget(request.id);
     const ms = performance.now() - startedAt;
     // The entry that has forwarded a job counts it.
     if (!mayStart) this.options.meter.answered(route.name, outcome.type, ms);
@@ -280,7 +301,7 @@
    */
   cancel(id: string): boolean {
     const active = this.jobs.get(id);
-    if (!active) return false;
+    if (!active) return this.confirmation.cancel(id);
     active.job.settle({ type: 'unfinished', reason: 'cancelled' });
     return true;
   }
@@ -290,7 +311,7 @@
    * @returns true while the job is active at this entry
    */
   isActive(id: string): boolean {
-    return this.jobs.has(id);
+    return this.jobs.has(id) || this.confirmation.isConfirming(id);
   }
 
   /**
@@ -317,7 +338,8 @@
     this.options.log.info({ jobs: this.jobs.size }, 'stopping');
     const startedAt = performance.now();
     const elapsed = () => performance.now() - startedAt;
-    const isBusy = () => this.jobs.size > 0 || this.boundTaskNotices.isSending;
+    const isBusy = () =>
+      this.jobs.size > 0 || this.confirmation.isBusy || this.boundTaskNotices.isSending;
     while ((isBusy() || elapsed() < balancerDelayMs) && elapsed() < timeoutMs) {
       await sleep(STOP_POLL_PERIOD_MS);
       this.isClosed = elapsed() >= balancerDelayMs;
@@ -329,6 +351,7 @@
   /** Stops at once, as a crash would, without waiting for active jobs. */
   halt(): void {
     this.isDraining = true;
+    this.confirmation.halt();
     this.dispatcher.halt();
     this.boundTaskNotices.halt();
     this.forwarding?.halt();
@@ -409,6 +432,7 @@
         },
         operatorState: () => ({ state: this.operatorState }),
         ...this.forwarding?.handlers,
+        ...this.confirmation.handlers,
         rules: (rules) => {
           this.handleRules(rules);
           return {};
@@ -477,6 +501,39 @@
     return undefined;
   }
 
+  private createConfirmation(): JobConfirmation {
+    const { name, dial, meter, log, readProcessorMs = () => 0 } = this.options;
+    const ownJobs = () => [...this.jobs.values()].filter(({ isOwn }) => isOwn);
+    return JobConfirmation.create({
+      entry: name,
+      entries: () => this.registeredPeers,
+      storeRevision: () => this.deliveredRevision,
+      dial: (address) => dial(address, this.server),
+      readProcessorMs,
+      findJob: (id) => this.jobs.get(id)?.job,
+      ownJobs: () => ownJobs().map(({ job }) => job),
+      hasRunsOf: (id) => this.dispatcher.hasRunsOf(id),
+      schedulePass: () => this.dispatcher.schedulePass(),
+      onPause: (ms) => meter.paused?.(ms),
+      onClaimed: (verdict) => meter.claimed?.(verdict),
+      log,
+    });
+  }
+
+  /** Runs a job; one that may be an old copy only if no other entry has it. */
+  private async confirmAndRun(submission: Submission): Promise<JobOutcome> {
+    const { connectedAt, remainingMs } = submission;
+    const { id } = submission.job;
+    if (!this.confirmation.isNeeded({ id, connectedAt, remainingMs })) {
+      return this.runJob(submission);
+    }
+    const startedAt = performance.now();
+    const confirmation = await this.confirmation.confirm({ id, connectedAt, remainingMs });
+    if (confirmation.type === 'answered') return confirmation.outcome;
+    const leftMs = remainingMs - (performance.now() - startedAt);
+    return this.runJob({ ...submission, remainingMs: leftMs });
+  }
+
   private async runJob(submission: Submission): Promise<JobOutcome> {
     const { job: request, signal, mayStart } = submission;
     if (signal.aborted) return { type: 'unfinished', reason: CLIENT_LEFT };
@@ -507,7 +564,10 @@
     const job = ActiveJob.create(request, route, step, remainingMs);
     const active = { job, waiters: 0, isOwn: false, answer: this.endJob(job, remainingMs) };
     this.jobs.set(request.id, active);
-    job.notBefore = this.forwarding?.sender.earlierRunsUntil(job.id) ?? 0;
+    job.notBefore = Math.max(
+      this.forwarding?.sender.earlierRunsUntil(job.id) ?? 0,
+      this.confirmation.claimedUntil(job.id),
+    );
     // While runs of an earlier copy may be active at another entry, a refusal as not run would be false.
     job.mayHaveRun = job.notBefore > performance.now();
     if (mayStart || !this.tryForward(job)) this.run(job);
@@ -518,6 +578,7 @@
     const { dispatcher, forwarding, operatorState } = this;
     if (!forwarding || !operatorState || this.isDraining) return false;
     if (dispatcher.hasEarlierRuns(job) || dispatcher.bindings.has(job.id)) return false;
+    if (this.confirmation.hasClaimed(job.id) || job.notBefore > performance.now()) return false;
     return forwarding.sender.tryForward(job, operatorState.version, () => this.runDeclined(job));
   }
 
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -1,5 +1,5 @@
 import { match } from 'ts-pattern';
-import { CallError, countFitting } from '@marjorammast/protocol';
+import { CallError, countFitting, createStopwatch } from '@marjorammast/protocol';
 import type {
   BoundTaskRows,
   Params,
@@ -21,7 +21,6 @@
 } from './constants';
 import type { CrashRecords } from './CrashRecords';
 import { createRoomFinder } from './createRoomFinder';
-import { createStopwatch } from './createStopwatch';
 import { findRefusal } from './findRefusal';
 import type { Refusal } from './findRefusal';
 import { groupWaitingTasks } from './groupWaitingTasks';
@@ -53,6 +52,8 @@
   confinement: RouteConfinement;
   /** How tasks without room wait at agents; they do not if absent. */
   queueing?: Queueing;
+  /** Called before each pass, which relies on the age of the waiting jobs. */
+  beforePass: () => void;
   /** Uniform random numbers in [0, 1). */
   random: () => number;
   log: Log;
@@ -134,6 +135,14 @@
     return this.runs.hasEarlierRuns(job);
   }
 
+  /**
+   * @param job - identifier of a job
+   * @returns true while a run of any submission of the job may be active
+   */
+  hasRunsOf(job: string): boolean {
+    return this.runs.hasRunsOf(job);
+  }
+
   /**
    * Queues a job: its waiting tasks are assigned as soon as workers have free resources.
    *
@@ -256,6 +265,7 @@
 
   private beginPass(): void {
     this.isPassScheduled = false;
+    this.host.beforePass();
     this.runPass();
   }
 
--- a/packages/dispatch/src/OutstandingRuns.ts
+++ b/packages/dispatch/src/OutstandingRuns.ts
@@ -65,6 +65,14 @@
     return firstRun !== undefined && firstRun.job !== job;
   }
 
+  /**
+   * @param job - identifier of a job
+   * @returns true while a run of any submission of the job has not ended
+   */
+  hasRunsOf(job: string): boolean {
+    return this.runsByJob.has(job);
+  }
+
   /**
    * Adds a run.
    *
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -4,6 +4,18 @@
 /** Time allowed for an answer to `attach`, or to a request to another entry, in milliseconds. */
 export const ATTACH_TIMEOUT_MS = 1_000;
 
+/** Time allowed for the connection to another entry for claims, and for its answer to them, in milliseconds. */
+export const CLAIM_TIMEOUT_MS = 250;
+
+/** Time for which an entry that has not answered a claim is not asked again, in milliseconds. */
+export const CLAIM_RETRY_MS = 500;
+
+/** Time without a claim after which the connections for claims are closed, in milliseconds. */
+export const CLAIM_IDLE_MS = 10_000;
+
+/** Time allowed for another entry to end a job that it has claimed, with its runs, in milliseconds. */
+export const MAX_RELEASE_MS = 1_200;
+
 /** Time between two renewals sent to an agent that has runs of this entry, in milliseconds. */
 export const RENEW_PERIOD_MS = 160;
 
--- a/packages/dispatch/src/job.ts
+++ b/packages/dispatch/src/job.ts
@@ -59,7 +59,14 @@
   | { type: 'unknownRoute' };
 
 /** Why a job was refused. */
-export type RefusalReason = 'notSupported' | 'tooLarge' | 'noRoom' | 'noWorkers' | 'stopping';
+export type RefusalReason =
+  | 'notSupported'
+  | 'tooLarge'
+  | 'noRoom'
+  | 'noWorkers'
+  | 'stopping'
+  /** The job may be an old copy of one that another entry runs, and not all entries have answered. */
+  | 'unconfirmed';
 
 /**
  * Finds a feature that a job uses and that is not supported yet.
--- a/packages/dispatch/tests/Dispatcher.test.ts
+++ b/packages/dispatch/tests/Dispatcher.test.ts
@@ -50,6 +50,7 @@
     connections: () => agents,
     findConnection: (name) => agents.find((agent) => agent.name === name),
     evacuatedDataCenters: () => [],
+    beforePass: () => undefined,
     crashRecords,
     confinement: RouteConfinement.create(),
     random: () => 0,
--- a/packages/dispatch/tests/crowd.test.ts
+++ b/packages/dispatch/tests/crowd.test.ts
@@ -76,6 +76,7 @@
     connections: () => [connection],
     findConnection: () => connection,
     evacuatedDataCenters: () => [],
+    beforePass: () => undefined,
     crashRecords: CrashRecords.create(),
     confinement: RouteConfinement.create(),
     random: () => 0,
--- a/packages/dispatch/tests/queueAtAgents.test.ts
+++ b/packages/dispatch/tests/queueAtAgents.test.ts
@@ -59,6 +59,7 @@
     connections: () => [agent],
     findConnection: () => agent,
     evacuatedDataCenters: () => [],
+    beforePass: () => undefined,
     crashRecords: CrashRecords.create(),
     confinement: RouteConfinement.create(),
     queueing: maxQueueMs > 0 ? { maxQueueMs } : undefined,
--- a/packages/gate/src/index.ts
+++ b/packages/gate/src/index.ts
@@ -1,7 +1,6 @@
 export * from './GateAgent';
 export * from './SlownessEstimate';
 export * from './robustSlowness';
-export * from './createSuspendAwareClock';
 export * from './WorkerHealth';
 export * from './WorkerSession';
 export * from './WorkerClient';
--- a/packages/http/src/createRequestServer.ts
+++ b/packages/http/src/createRequestServer.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, RequestListener, Server, ServerOptions } from 'node:http';
 import type { Socket } from 'node:net';
+import { recordAccept } from './connectedAt';
 import { ConnectionTable, INSPECTION_PERIOD_MS } from './ConnectionTable';
 import type { Protection } from './createProtection';
 import { contentLengthOf, hasChunkedBody } from './requestEnd';
@@ -57,7 +58,10 @@
       handler(request, response);
     },
   );
-  server.on('connection', (socket: Socket) => table.add(socket));
+  server.on('connection', (socket: Socket) => {
+    recordAccept(socket);
+    table.add(socket);
+  });
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     const { code = '' } = error;
     if (DISCONNECTIONS.has(code)) socket.destroy(error);
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -1,4 +1,5 @@
 export * from './BodyBudget';
+export { connectedAtOf } from './connectedAt';
 export * from './createProtection';
 export * from './createRequestServer';
 export * from './PagedBuffer';
--- a/packages/protocol/src/forwardMessages.ts
+++ b/packages/protocol/src/forwardMessages.ts
@@ -33,7 +33,7 @@
   z.object({ type: z.literal('failed'), reason: z.string() }),
   z.object({
     type: z.literal('refused'),
-    reason: z.enum(['notSupported', 'tooLarge', 'noRoom', 'noWorkers', 'stopping']),
+    reason: z.enum(['notSupported', 'tooLarge', 'noRoom', 'noWorkers', 'stopping', 'unconfirmed']),
     retryAfterMs: z.number(),
   }),
   z.object({ type: z.literal('unfinished'), reason: z.string() }),
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -1,4 +1,5 @@
 import * as z from 'zod';
+import { claimCallSchemas } from './claimMessages';
 import { clusterMapSchema } from './clusterMap';
 import { dispatchCallSchemas } from './dispatchMessages';
 import { releaseSchema, agentConfigurationSchema } from './environment';
@@ -154,6 +155,7 @@
 export const callSchemas = {
   ...dispatchCallSchemas,
   ...forwardCallSchemas,
+  ...claimCallSchemas,
   /** Agent to entry, first call on a connection: registers the agent. */
   hello: {
     params: z.object({
