Fix: no task starts once the deadline of its job has passed

Cause: the timer of the deadline answers a job, but after a pause of the process a dispatch pass may run before the timers, in the turn in which the sockets are read. A job with waiting tasks that was committed, so that it can't be refused, was placed for a client that had left, and may have submitted it elsewhere since. Change: mayStart is false from the deadline on.

--- a/packages/dispatch/src/ActiveJob.ts
+++ b/packages/dispatch/src/ActiveJob.ts
@@ -81,10 +81,13 @@
     return this.builtTasks;
   }
 
-  /** False while it is not certain that the job is wanted, or while earlier runs of it may be active elsewhere. */
+  /**
+   * False while it is not certain that the job is wanted, or while earlier runs of it may be active elsewhere. After
+   * a pause the deadline may have passed though its timer has not run yet.
+   */
   get mayStart(): boolean {
     const now = performance.now();
-    if (this.isHeld || now < this.notBefore) return false;
+    if (this.isHeld || now < this.notBefore || now >= this.deadlineAt) return false;
     return this.startGuards.size === 0 || [...this.startGuards].some((isWanted) => isWanted());
   }
 
--- a/packages/dispatch/tests/ActiveJob.test.ts
+++ b/packages/dispatch/tests/ActiveJob.test.ts
@@ -13,6 +13,17 @@
     expect(job.isCommitted).toBe(false);
   });
 
+  // Guards against a start for a client that has left: after a pause, a pass may run before the timer of the deadline.
+  it('starts nothing once its deadline has passed', () => {
+    jest.useFakeTimers();
+    const job = createTestJob(1, 100);
+    jest.advanceTimersByTime(8_999);
+    expect(job.mayStart).toBe(true);
+    jest.advanceTimersByTime(1);
+    expect(job.mayStart).toBe(false);
+    jest.useRealTimers();
+  });
+
   // Guards against a number that is no exact integer any more and that no agent accepts.
   it('keeps run numbers exact however often a run does not start', () => {
     const job = createTestJob(1, 100);
