Fix: forwarded jobs are as old as the suspension of their receiver

Cause: the receiver of forwarded jobs told the age of messages and of heartbeats by its monotonic clock, which stands still while the VM is suspended. What a sender had sent before the suspension, and had given up since, was taken for new and run. Change: ages follow the clock that counts suspensions (moved to the protocol package). A forward step of the wall clock looks the same: jobs are declined, and none starts, until the next heartbeat, 160 ms later at most; a sender counts as silent by the monotonic clock alone, so that a step ends no job.

--- a/packages/dispatch/src/ForwardedJobs.ts
+++ b/packages/dispatch/src/ForwardedJobs.ts
@@ -1,4 +1,4 @@
-import { setIoTimeout } from '@marjorammast/protocol';
+import { createSuspendAwareClock, setIoTimeout } from '@marjorammast/protocol';
 import type {
   EntryLoadReport,
   ForwardDeclineReason,
@@ -44,6 +44,8 @@
   link: Link;
   /** Latest monotonic time at which the sender was certainly alive, in milliseconds. */
   lastContactAt: number;
+  /** The same on the clock that counts suspensions of the VM. */
+  lastContactClock: number;
   /** Jobs that have not been answered, with what aborts each of their submissions. */
   jobs: Map<string, Set<AbortController>>;
 };
@@ -52,6 +54,9 @@
 export class ForwardedJobs {
   private readonly senders = new Map<Link, Sender>();
 
+  /** Clock by which the age of messages is told. What was sent before a suspension of the VM is as old as that. */
+  private readonly clock = createSuspendAwareClock();
+
   /** Set while senders with jobs are watched. */
   private clearSilenceTimeout: (() => void) | undefined;
 
@@ -78,7 +83,7 @@
         const sender = this.senderOf(link);
         this.recordContact(sender, params);
         const pending = [...sender.jobs.keys()].filter((job) => this.host.isPending(job));
-        return { clock: performance.now(), load: this.host.load(), pending };
+        return { clock: this.clock(), load: this.host.load(), pending };
       },
     };
   }
@@ -92,7 +97,12 @@
   private senderOf(link: Link): Sender {
     const known = this.senders.get(link);
     if (known) return known;
-    const sender: Sender = { link, lastContactAt: -Infinity, jobs: new Map() };
+    const sender: Sender = {
+      link,
+      lastContactAt: -Infinity,
+      lastContactClock: -Infinity,
+      jobs: new Map(),
+    };
     this.senders.set(link, sender);
     link.onClose(() => this.remove(sender));
     return sender;
@@ -110,12 +120,19 @@
    */
   private recordContact(sender: Sender, { echo, heldMs = 0 }: { echo?: number; heldMs?: number }) {
     if (echo === undefined) return;
-    const sentAt = Math.min(performance.now(), echo + heldMs);
-    sender.lastContactAt = Math.max(sender.lastContactAt, sentAt);
+    const ageMs = Math.max(0, this.clock() - (echo + heldMs));
+    sender.lastContactAt = Math.max(sender.lastContactAt, performance.now() - ageMs);
+    sender.lastContactClock = Math.max(sender.lastContactClock, this.clock() - ageMs);
+  }
+
+  /** After a step of the wall clock, a sender counts as not heard until its next heartbeat. */
+  private isHeard({ link, lastContactClock }: Sender): boolean {
+    return link.isOpen && this.clock() - lastContactClock < SENDER_TIMEOUT_MS;
   }
 
-  private isHeard({ link, lastContactAt }: Sender): boolean {
-    return link.isOpen && performance.now() - lastContactAt < SENDER_TIMEOUT_MS;
+  /** A step of the wall clock does not make a sender silent. */
+  private isSilent({ lastContactAt }: Sender): boolean {
+    return performance.now() - lastContactAt >= SENDER_TIMEOUT_MS;
   }
 
   private async forward(params: Params<'forward'>, sender: Sender): Promise<Result<'forward'>> {
@@ -134,7 +151,7 @@
     route: Route | undefined,
   ): ForwardDeclineReason | undefined {
     const { host } = this;
-    if (performance.now() - (echo + heldMs) > MAX_FORWARD_AGE_MS) return 'stale';
+    if (this.clock() - (echo + heldMs) > MAX_FORWARD_AGE_MS) return 'stale';
     if (version > host.version()) return 'configuration';
     if (!route) return 'route';
     if (host.isForwarded(job.id)) return 'forwarded';
@@ -180,7 +197,7 @@
 
   private closeSilent(): void {
     [...this.senders.values()]
-      .filter((sender) => sender.jobs.size > 0 && !this.isHeard(sender))
+      .filter((sender) => sender.jobs.size > 0 && this.isSilent(sender))
       .forEach(({ link, lastContactAt }) => {
         const silentMs = Math.round(performance.now() - lastContactAt);
         this.host.log.warn({ peer: link.name, silentMs }, 'sender_silent');
--- a/packages/dispatch/tests/ForwardedJobs.test.ts
+++ b/packages/dispatch/tests/ForwardedJobs.test.ts
@@ -102,6 +102,42 @@
     expect(fixture.runs).toEqual([]);
   });
 
+  // Guards against tasks that run at two entries: the sender has given the job up while the VM was suspended, and the
+  // monotonic clock stood still.
+  it('declines a message that waited while the VM was suspended', async () => {
+    const fixture = createFixture();
+    const params = { echo: performance.now(), heldMs: 0 };
+    jest.setSystemTime(Date.now() + 2_000);
+    const answers = forward(fixture, params);
+    await pass(10);
+    expect(answers).toEqual([{ type: 'declined', reason: 'stale', load: LOAD }]);
+    expect(fixture.runs).toEqual([]);
+  });
+
+  // Guards against starts for a sender that has given its jobs up, and against a step of the wall clock that ends jobs.
+  it('starts nothing after a suspension or a step until the sender is heard again', async () => {
+    const fixture = createFixture();
+    forward(fixture);
+    await pass(10);
+    const { connection, runs } = fixture;
+    expect(runs[0]?.mayStart()).toBe(true);
+    jest.setSystemTime(Date.now() + 2_000);
+    expect(runs[0]?.mayStart()).toBe(false);
+    const readings: number[] = [];
+    const heartbeat = (echo?: number) =>
+      connection.near
+        .call('heartbeat', { echo, heldMs: 0 }, 0)
+        .then(({ clock }) => readings.push(clock));
+    void heartbeat();
+    await pass(10);
+    void heartbeat(readings[0]);
+    await pass(10);
+    expect(runs[0]?.mayStart()).toBe(true);
+    await pass(200);
+    expect(runs[0]?.signal.aborted).toBe(false);
+    expect(connection.near.isOpen).toBe(true);
+  });
+
   it('accepts a job from an entry with an older configuration', async () => {
     const fixture = createFixture();
     forward(fixture, { version: 3 });
