Fix: a claim is made anew when the process was paused before it has read the answers

Cause: the answers of the other entries, and the claims that they keep for the time that the job has left, are as old as a pause that comes between the claim and the reading of the answers. An entry that was suspended a second time within milliseconds started a job that another one had got meanwhile. Change: the claim is repeated after a pause, and the longest age of what is read counts later suspensions too.

--- a/packages/dispatch/src/JobConfirmation.ts
+++ b/packages/dispatch/src/JobConfirmation.ts
@@ -158,8 +158,8 @@
     const { id, remainingMs } = submission;
     this.confirming.set(id, this.confirming.get(id) ?? false);
     await this.receivedClaims.release(id);
-    const ageMs = this.findLongestAge(submission);
-    const verdict = ageMs === undefined ? 'free' : await this.claim(id, ageMs, remainingMs);
+    const isOld = this.findLongestAge(submission) !== undefined;
+    const verdict = isOld ? await this.claim(id, remainingMs, submission.connectedAt) : 'free';
     const isCancelled = this.confirming.get(id);
     this.confirming.delete(id);
     const answer = (outcome: JobOutcome): Confirmation => ({ type: 'answered', outcome });
@@ -221,8 +221,20 @@
     return this.pauses.findLongestAge(connectedAt);
   }
 
-  private async claim(id: string, ageMs: number, remainingMs: number): Promise<ClaimVerdict> {
+  /** Claims a job, and again if the process was paused meanwhile: the answers are as old as that pause. */
+  private async claim(
+    id: string,
+    remainingMs: number,
+    connectedAt = -Infinity,
+  ): Promise<ClaimVerdict> {
+    const ageMs = this.pauses.findLongestAge(connectedAt) ?? 0;
+    const pausesBefore = this.pauses.count;
     const verdict = await this.claims.claim({ id, longestAgeMs: ageMs, remainingMs });
+    this.pauses.check();
+    if (this.pauses.count > pausesBefore) {
+      this.claims.forget(id);
+      return this.claim(id, remainingMs, connectedAt);
+    }
     this.host.onClaimed(verdict);
     this.host.log.info({ job: id, ageMs: Math.round(ageMs), verdict }, 'job_claimed');
     return verdict;
@@ -235,16 +247,18 @@
     this.host
       .ownJobs()
       .filter((job) => !job.forwardedTo && job.deadlineAt - suspendedMs <= endedAt)
-      .forEach((job) => void this.holdUntilConfirmed(job, lengthMs));
+      .forEach((job) => void this.holdUntilConfirmed(job));
   }
 
   /**
    * Starts no further task of a job until it is certain that no other entry has it: if the VM was suspended, the
    * client's deadline has passed. After a step of the wall clock, which looks the same, the job goes on.
    */
-  private async holdUntilConfirmed(job: ActiveJob, ageMs: number): Promise<void> {
+  private async holdUntilConfirmed(job: ActiveJob): Promise<void> {
     job.hold();
-    const verdict = await this.claim(job.id, ageMs, job.deadlineAt - performance.now());
+    // An earlier claim may have expired during the suspension.
+    this.claims.forget(job.id);
+    const verdict = await this.claim(job.id, job.deadlineAt - performance.now());
     match(verdict)
       .with('known', () => job.settle({ type: 'unfinished', reason: SUBMITTED_ELSEWHERE }))
       .with('unconfirmed', () => undefined)
--- a/packages/proofs/tests/pausedEntries.test.ts
+++ b/packages/proofs/tests/pausedEntries.test.ts
@@ -40,6 +40,13 @@
     }),
     { minLength: 1, maxLength: 8 },
   ),
+  further: fc.option(
+    fc.record({
+      afterMs: fc.integer({ min: 1, max: 1_500 }),
+      lengthMs: fc.integer({ min: 300, max: 4_000 }),
+    }),
+    { nil: undefined },
+  ),
 });
 
 /** Submits small jobs to the first entry just after a pause. Returns the types of the outcomes. */
@@ -93,13 +100,13 @@
     'starts no job that runs elsewhere, in generated situations',
     async () => {
       await fc.assert(
-        fc.asyncProperty(situationArbitrary, async ({ seed, pauseMs, requests }) => {
+        fc.asyncProperty(situationArbitrary, async ({ seed, pauseMs, requests, further }) => {
           const simulation = await startDeployment(seed);
           const old = requests.map((request) => ({
             ...request,
             sentAfterMs: Math.min(request.sentAfterMs, pauseMs - 1),
           }));
-          await playPause(simulation, pauseMs, old);
+          await playPause(simulation, pauseMs, old, further);
           simulation.halt();
           expect(checkDispatchGuarantees(simulation)).toEqual([]);
         }),
@@ -109,6 +116,20 @@
     GENERATED_TIMEOUT_MS,
   );
 
+  // Guards against a claim that has expired at the other entry when its answer is read.
+  it.each([1, 2, 3, 5, 10, 40])(
+    'claims jobs anew when it was paused again %i ms after it has read them',
+    async (afterMs) => {
+      const simulation = await startDeployment(1);
+      const request = { sentAfterMs: 50, readAfterMs: 10, endAfterMs: 5_000, waitMs: 1_500 };
+      const requests = [{ ...request, resendMs: 5_000 }];
+      const further = { afterMs: 10 + afterMs, lengthMs: 3_900 };
+      await playPause(simulation, 2_000, requests, further);
+      simulation.halt();
+      expect(checkDispatchGuarantees(simulation)).toEqual([]);
+    },
+  );
+
   // Guards against a distrust that costs service: what is sent after the pause is served as always.
   it.each([
     ['kept', true],
--- a/packages/proofs/tests/support/pausedEntry.ts
+++ b/packages/proofs/tests/support/pausedEntry.ts
@@ -18,6 +18,9 @@
   resendMs?: number;
 };
 
+/** A further pause of the entry, from the end of the first one, in milliseconds. */
+export type FurtherPause = { afterMs: number; lengthMs: number };
+
 /** How long tasks of the old jobs run, in milliseconds. */
 const OLD_RUN_MS = 1_200;
 
@@ -104,17 +107,24 @@
  * @param simulation - the deployment
  * @param pauseMs - length of the pause, in milliseconds
  * @param requests - the clients
+ * @param further - another pause of the entry; it has none if absent
  */
 export const playPause = async (
   simulation: DispatchSimulation,
   pauseMs: number,
   requests: readonly OldRequest[],
+  further?: FurtherPause,
 ): Promise<void> => {
   const [entry] = simulation.entries;
   if (!entry) throw new Error('no entry');
   const connectedAt = performance.now() - 500;
   simulation.network.freeze(entry.name, true);
   setTimeout(() => simulation.network.freeze(entry.name, false), pauseMs);
+  if (further) {
+    const { afterMs, lengthMs } = further;
+    setTimeout(() => simulation.network.freeze(entry.name, true), pauseMs + afterMs);
+    setTimeout(() => simulation.network.freeze(entry.name, false), pauseMs + afterMs + lengthMs);
+  }
   requests.forEach(({ sentAfterMs, readAfterMs, endAfterMs, waitMs, resendMs }, index) => {
     const job = createSentJob(index.toString(16));
     void sleep(pauseMs + readAfterMs).then(() => read(simulation, job, connectedAt, endAfterMs));
--- a/packages/protocol/src/PauseDetector.ts
+++ b/packages/protocol/src/PauseDetector.ts
@@ -66,6 +66,8 @@
 
   private pauses: RecentPause[] = [];
 
+  private pauseCount = 0;
+
   private timer: NodeJS.Timeout | undefined;
 
   private constructor(private readonly options: PauseDetectorOptions) {
@@ -81,6 +83,11 @@
     return new PauseDetector(options);
   }
 
+  /** Number of pauses that were noticed. */
+  get count(): number {
+    return this.pauseCount;
+  }
+
   /** Reads the clocks. To be called before something is done that relies on the age of what was read. */
   check(): void {
     const { steady, wall, processor } = this.last;
@@ -109,7 +116,10 @@
     const now = performance.now();
     this.pauses = this.pauses.filter((pause) => now < doubtEndOf(pause));
     const first = this.pauses.find(({ newConnectionsFrom }) => connectedAt < newConnectionsFrom);
-    return first && now - first.endedAt + first.lengthMs;
+    if (!first) return undefined;
+    const later = this.pauses.slice(this.pauses.indexOf(first) + 1);
+    const suspendedMs = later.reduce((sum, pause) => sum + pause.suspendedMs, 0);
+    return now - first.endedAt + first.lengthMs + suspendedMs;
   }
 
   /** Stops reading the clocks. */
@@ -120,6 +130,7 @@
   private record(pause: Pause): void {
     const recent = { ...pause, newConnectionsFrom: Infinity };
     this.pauses.push(recent);
+    this.pauseCount += 1;
     // Until then the connections that were opened during the pause are accepted.
     void waitForPoll().then(() => {
       recent.newConnectionsFrom = performance.now() + ACCEPT_MARGIN_MS;
