--- a/packages/dispatch/src/ClaimLink.ts
+++ b/packages/dispatch/src/ClaimLink.ts
@@ -1,4 +1,4 @@
-import { CallError } from '@marjorammast/protocol';
+import { CallError, setIoTimeout } from '@marjorammast/protocol';
 import type { Link, Params, RegisteredProcess, Result } from '@marjorammast/protocol';
 import type { Log } from '@marjorammast/telemetry';
 import { CLAIM_RETRY_MS, CLAIM_TIMEOUT_MS, RUN_EXPIRY_MS } from './constants';
@@ -27,18 +27,18 @@
 const openInTime = (opening: Promise<Link>): Promise<Link> =>
   new Promise((resolve, reject) => {
     let isLate = false;
-    const timer = setTimeout(() => {
+    const clearOpenTimeout = setIoTimeout(() => {
       isLate = true;
       reject(CallError.create('notSent', 'connection timed out'));
     }, CLAIM_TIMEOUT_MS);
     opening.then(
       (link) => {
-        clearTimeout(timer);
+        clearOpenTimeout();
         if (isLate) link.close();
         else resolve(link);
       },
       (error: unknown) => {
-        clearTimeout(timer);
+        clearOpenTimeout();
         reject(error instanceof Error ? error : new Error(String(error)));
       },
     );
