--- a/packages/dispatch/src/ClaimLink.ts
+++ b/packages/dispatch/src/ClaimLink.ts
@@ -122,7 +122,10 @@
     const now = performance.now();
     this.reset();
     const detail = error instanceof Error ? error.message : String(error);
-    this.host.log.warn({ peer: this.peer.name, detail }, 'claim_unanswered');
+    // All claims that have waited for one connection fail with it.
+    if (now >= this.silentUntil) {
+      this.host.log.warn({ peer: this.peer.name, detail }, 'claim_unanswered');
+    }
     if (!isRefused(error)) {
       this.refusedSince = undefined;
       this.silentUntil = now + CLAIM_RETRY_MS;
