Fix: a step of the wall clock is not taken for a suspension

Change: after such a pause up to eight agents are asked for their clocks. In a suspension all of them have advanced by that time more than the monotonic clock of this process; one that has not shows that it was a step, and the pause is dismissed. Where all clocks that are asked were stepped too, it counts as a suspension.

--- a/packages/dispatch/src/AgentConnection.ts
+++ b/packages/dispatch/src/AgentConnection.ts
@@ -205,6 +205,26 @@
     }
   }
 
+  /**
+   * Compares the clocks of agent and entry. While the VM of the entry is suspended, only the agent's advances.
+   *
+   * @returns by how much more the agent's has advanced since it was last read, in milliseconds; `undefined` when the
+   * agent does not answer
+   */
+  async measureSuspension(): Promise<number | undefined> {
+    const { link } = this;
+    if (!link) return undefined;
+    const { clock, at } = this.clockReading;
+    const elapsedMs = performance.now() - at;
+    try {
+      const answer = await link.call('renew', {}, AGENT_CALL_TIMEOUT_MS);
+      return answer.clock - clock - elapsedMs;
+    } catch (error) {
+      this.logFailure('clock_not_read', error);
+      return undefined;
+    }
+  }
+
   /**
    * Tells the agent to stop the runs of jobs.
    *
--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -18,6 +18,7 @@
 import { findRoute } from './findRoute';
 import { Forwarding } from './Forwarding';
 import type { ForwardingOptions } from './Forwarding';
+import { isClockStep } from './isClockStep';
 import { isSameSet } from './isSameSet';
 import { unsupportedFeature } from './job';
 import type { JobOutcome, JobRequest } from './job';
@@ -514,6 +515,7 @@
       ownJobs: () => ownJobs().map(({ job }) => job),
       hasRunsOf: (id) => this.dispatcher.hasRunsOf(id),
       schedulePass: () => this.dispatcher.schedulePass(),
+      isClockStep: (ms) => isClockStep(this.connections.values(), ms),
       onPause: (ms) => meter.paused?.(ms),
       onClaimed: (verdict) => meter.claimed?.(verdict),
       log,
--- a/packages/dispatch/src/JobConfirmation.ts
+++ b/packages/dispatch/src/JobConfirmation.ts
@@ -41,6 +41,8 @@
   /** True while a run of any submission of a job may be active. */
   hasRunsOf: (id: string) => boolean;
   schedulePass: () => void;
+  /** Tells whether the wall clock was stepped forward by a time in milliseconds, and the VM not suspended. */
+  isClockStep: (ms: number) => Promise<boolean>;
   /** Called with the length of each pause of the process, in milliseconds. */
   onPause: (ms: number) => void;
   /** Called for each job that may be an old copy. */
@@ -79,6 +81,9 @@
 
   private readonly pauses: PauseDetector;
 
+  /** Resolves when it is known which pauses were steps of the wall clock. */
+  private stepChecks: Promise<unknown> = Promise.resolve();
+
   private constructor(private readonly host: JobConfirmationHost) {
     const { entry, entries, storeRevision, dial, readProcessorMs, log } = host;
     this.receivedClaims = ReceivedClaims.create(log);
@@ -158,6 +163,7 @@
     const { id, remainingMs } = submission;
     this.confirming.set(id, this.confirming.get(id) ?? false);
     await this.receivedClaims.release(id);
+    await this.stepChecks;
     const isOld = this.findLongestAge(submission) !== undefined;
     const verdict = isOld ? await this.claim(id, remainingMs, submission.connectedAt) : 'free';
     const isCancelled = this.confirming.get(id);
@@ -221,6 +227,12 @@
     return this.pauses.findLongestAge(connectedAt);
   }
 
+  /** Claims a job for which an earlier claim may have expired during a suspension. */
+  private claimAgain({ id, deadlineAt }: ActiveJob): Promise<ClaimVerdict> {
+    this.claims.forget(id);
+    return this.claim(id, deadlineAt - performance.now());
+  }
+
   /** Claims a job, and again if the process was paused meanwhile: the answers are as old as that pause. */
   private async claim(
     id: string,
@@ -240,25 +252,35 @@
     return verdict;
   }
 
-  private handlePause({ endedAt, lengthMs, suspendedMs }: Pause): void {
+  private handlePause(pause: Pause): void {
+    const { endedAt, lengthMs, suspendedMs, mayBeStep } = pause;
     this.host.log.warn({ lengthMs, suspendedMs }, 'paused');
     this.host.onPause(lengthMs);
     if (suspendedMs === 0) return;
+    const stepCheck = mayBeStep ? this.dismissStep(pause) : Promise.resolve(false);
+    this.stepChecks = Promise.all([this.stepChecks, stepCheck]);
     this.host
       .ownJobs()
       .filter((job) => !job.forwardedTo && job.deadlineAt - suspendedMs <= endedAt)
-      .forEach((job) => void this.holdUntilConfirmed(job));
+      .forEach((job) => void this.holdUntilConfirmed(job, stepCheck));
+  }
+
+  /** Forgets a pause that was a step of the wall clock. Returns true if it was one. */
+  private async dismissStep(pause: Pause): Promise<boolean> {
+    const isStep = await this.host.isClockStep(pause.suspendedMs);
+    if (!isStep) return false;
+    this.host.log.info({ ms: pause.suspendedMs }, 'clock_step');
+    this.pauses.dismiss(pause);
+    return true;
   }
 
   /**
    * Starts no further task of a job until it is certain that no other entry has it: if the VM was suspended, the
    * client's deadline has passed. After a step of the wall clock, which looks the same, the job goes on.
    */
-  private async holdUntilConfirmed(job: ActiveJob): Promise<void> {
+  private async holdUntilConfirmed(job: ActiveJob, stepCheck: Promise<boolean>): Promise<void> {
     job.hold();
-    // An earlier claim may have expired during the suspension.
-    this.claims.forget(job.id);
-    const verdict = await this.claim(job.id, job.deadlineAt - performance.now());
+    const verdict = (await stepCheck) ? 'free' : await this.claimAgain(job);
     match(verdict)
       .with('known', () => job.settle({ type: 'unfinished', reason: SUBMITTED_ELSEWHERE }))
       .with('unconfirmed', () => undefined)
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -10,6 +10,9 @@
 /** Time for which an entry that has not answered a claim is not asked again, in milliseconds. */
 export const CLAIM_RETRY_MS = 500;
 
+/** Number of agents whose clocks tell a step of the wall clock from a suspension. */
+export const COMPARED_CLOCKS = 8;
+
 /** Time without a claim after which the connections for claims are closed, in milliseconds. */
 export const CLAIM_IDLE_MS = 10_000;
 
--- a/packages/dispatch/tests/JobConfirmation.test.ts
+++ b/packages/dispatch/tests/JobConfirmation.test.ts
@@ -45,6 +45,7 @@
     ownJobs: () => [...jobs.values()],
     hasRunsOf: () => false,
     schedulePass: jest.fn(),
+    isClockStep: () => Promise.resolve(false),
     onPause: jest.fn(),
     onClaimed: jest.fn(),
     log,
@@ -196,6 +197,26 @@
     expect(job.isOpen).toBe(true);
   });
 
+  // Guards against a step of the wall clock that costs jobs while an entry does not answer.
+  it('takes no step of the wall clock for a suspension, if an agent shows that it was one', async () => {
+    fixture = createFixture(
+      {},
+      { entries: () => ['own', 'gone'].map(entryOf), isClockStep: () => Promise.resolve(true) },
+    );
+    const { jobs, confirmation } = fixture;
+    const job = createTestJob(1, 100);
+    jobs.set('open', job);
+    suspend(20_000);
+    confirmation.checkPause();
+    expect(job.mayStart).toBe(false);
+    expect(confirmation.isNeeded({ id: 'a', connectedAt: -1, remainingMs: 1_500 })).toBe(true);
+    const answers = confirm();
+    await pass(5);
+    expect(answers).toEqual([{ type: 'confirmed' }]);
+    expect(job.mayStart).toBe(true);
+    expect(confirmation.isNeeded({ id: 'b', connectedAt: -1, remainingMs: 1_500 })).toBe(false);
+  });
+
   it('cancels a job that is being confirmed', async () => {
     fixture = createFixture({ other: () => FREE });
     suspend(2_000);
--- a/packages/protocol/src/PauseDetector.ts
+++ b/packages/protocol/src/PauseDetector.ts
@@ -38,6 +38,8 @@
    * of the wall clock, from which it cannot be told.
    */
   suspendedMs: number;
+  /** True when the monotonic clock shows no pause, so that it may be a step of the wall clock. */
+  mayBeStep: boolean;
 };
 
 /** Dependencies of a pause detector. */
@@ -100,9 +102,12 @@
     if (lengthMs < MIN_BUSY_PAUSE_MS && idleMs < MIN_PAUSE_MS) return;
     const unseenMs = Math.round(wallMs - steadyMs);
     const suspendedMs = unseenMs < MIN_PAUSE_MS ? 0 : unseenMs;
-    const pause = { endedAt: this.last.steady, lengthMs: Math.round(lengthMs), suspendedMs };
-    this.record(pause);
-    this.options.onPause(pause);
+    this.record({
+      endedAt: this.last.steady,
+      lengthMs: Math.round(lengthMs),
+      suspendedMs,
+      mayBeStep: steadyMs < MIN_PAUSE_MS + READING_PERIOD_MS && suspendedMs > 0,
+    });
   }
 
   /**
@@ -122,6 +127,15 @@
     return now - first.endedAt + first.lengthMs + suspendedMs;
   }
 
+  /**
+   * Forgets a pause that has turned out to be a step of the wall clock.
+   *
+   * @param pause - the pause
+   */
+  dismiss(pause: Pause): void {
+    this.pauses = this.pauses.filter((other) => other !== pause);
+  }
+
   /** Stops reading the clocks. */
   stop(): void {
     clearTimeout(this.timer);
@@ -135,6 +149,7 @@
     void waitForPoll().then(() => {
       recent.newConnectionsFrom = performance.now() + ACCEPT_MARGIN_MS;
     });
+    this.options.onPause(recent);
   }
 
   private schedule(): void {
