Fix: claims reach entries that register later, and their loss is noticed after a loss of power

Cause: a job was claimed at the entries that were registered when it was read. One that registers while the job runs, or that takes the place of a process whose VM has lost power (which closes no connection), knew nothing of the claim and could start a copy. Change: open claims are sent to entries as they register; while there are claims, each connection gets a message every 200 ms, so that a new process at the other end closes it, and the jobs end. Found by reading. Tests: 'claims its jobs also at an entry that registers later' and 'sends messages to the entries that have its claims'; both test what did not exist before.

--- a/packages/dispatch/src/ClaimLink.ts
+++ b/packages/dispatch/src/ClaimLink.ts
@@ -48,6 +48,8 @@
 export class ClaimLink {
   private opening: Promise<Link> | undefined;
 
+  private openLink: Link | undefined;
+
   /** Connections that this entry has closed itself. */
   private readonly closedLinks = new WeakSet<Link>();
 
@@ -88,6 +90,15 @@
     }
   }
 
+  /**
+   * Sends a message if the connection is open: a VM that has lost power and runs another process since closes it then.
+   *
+   * @param params - a claim of no jobs
+   */
+  beat(params: Params<'claimJobs'>): void {
+    this.openLink?.notify('claimJobs', params);
+  }
+
   /** Closes the connection for good. */
   close(): void {
     this.reset();
@@ -96,6 +107,7 @@
   private async open(): Promise<Link> {
     const link = await openInTime(this.host.dial(this.peer.address));
     this.refusedSince = undefined;
+    this.openLink = link;
     link.onClose(() => {
       if (this.closedLinks.has(link)) return;
       this.opening = undefined;
@@ -108,6 +120,7 @@
   private reset(): void {
     const { opening } = this;
     this.opening = undefined;
+    this.openLink = undefined;
     opening?.then(
       (link) => {
         this.closedLinks.add(link);
--- a/packages/dispatch/src/DispatchEntry.ts
+++ b/packages/dispatch/src/DispatchEntry.ts
@@ -244,6 +244,7 @@
   updatePeers(peers: readonly RegisteredProcess[]): void {
     this.registeredPeers = peers;
     this.peerClient.updatePeers(peers);
+    this.confirmation.updateEntries();
     this.forwarding?.sender.updatePeers(peers, this.rules.outDataCenters);
   }
 
--- a/packages/dispatch/src/JobClaims.ts
+++ b/packages/dispatch/src/JobClaims.ts
@@ -2,7 +2,7 @@
 import type { Log } from '@marjorammast/telemetry';
 import { ClaimLink } from './ClaimLink';
 import type { ClaimAnswer } from './ClaimLink';
-import { CLAIM_IDLE_MS } from './constants';
+import { CLAIM_HEARTBEAT_MS, CLAIM_IDLE_MS } from './constants';
 
 /** What is known of the copies of a job at the other entries. */
 export type ClaimVerdict =
@@ -55,6 +55,8 @@
 
   private idleTimer: NodeJS.Timeout | undefined;
 
+  private heartbeatTimer: NodeJS.Timeout | undefined;
+
   private constructor(private readonly host: JobClaimsHost) {}
 
   /**
@@ -112,9 +114,25 @@
     this.claims.delete(id);
   }
 
+  /** Claims its jobs also at the entries that have registered since, and releases those that are known there. */
+  async extend(): Promise<void> {
+    if (this.claims.size === 0) return;
+    const jobs = [...this.claims.values()].map(({ job }) => job);
+    const answers = await this.askAll(
+      jobs,
+      this.host.peers(),
+      new Set([this.host.entry, ...this.links.keys()]),
+    );
+    answers.forEach((answer) => {
+      if (answer.type === 'answered') answer.result.known.forEach((id) => this.release(id));
+    });
+  }
+
   /** Closes all connections. */
   halt(): void {
     clearTimeout(this.idleTimer);
+    clearTimeout(this.heartbeatTimer);
+    this.heartbeatTimer = undefined;
     this.links.forEach((link) => link.close());
     this.links.clear();
   }
@@ -133,6 +151,7 @@
 
   private async ask(jobs: readonly DoubtfulJob[]): Promise<(id: string) => ClaimVerdict> {
     this.restartIdleTimer();
+    this.scheduleHeartbeat();
     const answers = await this.askAll(jobs, this.host.peers(), new Set([this.host.entry]));
     const known = new Set<string>();
     answers.forEach((answer) => {
@@ -189,6 +208,17 @@
     [...this.claims.keys()].forEach((id) => this.release(id));
   }
 
+  private scheduleHeartbeat(): void {
+    this.heartbeatTimer ??= setTimeout(() => {
+      this.heartbeatTimer = undefined;
+      if (this.claims.size === 0) return;
+      const { entry, storeRevision } = this.host;
+      const params = { entry, jobs: [], storeRevision: storeRevision() };
+      this.links.forEach((link) => link.beat(params));
+      this.scheduleHeartbeat();
+    }, CLAIM_HEARTBEAT_MS);
+  }
+
   private restartIdleTimer(): void {
     clearTimeout(this.idleTimer);
     this.idleTimer = setTimeout(() => {
--- a/packages/dispatch/src/JobConfirmation.ts
+++ b/packages/dispatch/src/JobConfirmation.ts
@@ -216,6 +216,11 @@
     if (!this.host.findJob(id) && !this.confirming.has(id)) this.claims.forget(id);
   }
 
+  /** Claims the jobs that may be old also at the entries that have registered since. */
+  updateEntries(): void {
+    void this.claims.extend();
+  }
+
   /** Stops, and closes all connections. */
   halt(): void {
     this.pauses.stop();
--- a/packages/dispatch/src/constants.ts
+++ b/packages/dispatch/src/constants.ts
@@ -10,6 +10,12 @@
 /** Time for which an entry that has not answered a claim is not asked again, in milliseconds. */
 export const CLAIM_RETRY_MS = 500;
 
+/**
+ * Time between two messages to each entry that has claims of this one, in milliseconds. They show that the process there
+ * is no other one.
+ */
+export const CLAIM_HEARTBEAT_MS = 200;
+
 /** Number of agents whose clocks tell a step of the wall clock from a suspension. */
 export const COMPARED_CLOCKS = 8;
 
--- a/packages/dispatch/tests/AgentConnection.test.ts
+++ b/packages/dispatch/tests/AgentConnection.test.ts
@@ -40,6 +40,26 @@
   );
 
 describe('AgentConnection', () => {
+  // Guards against a step of the wall clock that is taken for a suspension of the VM, or the other way round.
+  it('measures by how much more the clock of the agent has advanced', async () => {
+    const rules = { revision: 0, outDataCenters: [] };
+    const view = createView('open');
+    const attached = { agent: 'a', dataCenter: 'one', rules, view, crashes: [], unsettled: [] };
+    const clocks = [5_000, 5_000, 7_000];
+    const call = () => Promise.resolve({ ...attached, clock: clocks.shift() });
+    const link = { isOpen: true, call, notify: jest.fn(), onClose: jest.fn(), close: jest.fn() };
+    const connection = connect(
+      link as unknown as Link,
+      () => rules,
+      () => false,
+    );
+    expect(await connection.measureSuspension()).toBeUndefined();
+    await new Promise(setImmediate);
+    expect(Math.abs((await connection.measureSuspension()) ?? Infinity)).toBeLessThan(500);
+    expect(await connection.measureSuspension()).toBeGreaterThan(1_500);
+    connection.close();
+  });
+
   // An agent's next view may arrive in the same packet as its answer to `attach` and be handled
   // before that answer. An entry that dropped such a view treated the worker as closed until the view
   // changed again (soak test, seed 30).
--- a/packages/dispatch/tests/JobConfirmation.test.ts
+++ b/packages/dispatch/tests/JobConfirmation.test.ts
@@ -197,6 +197,38 @@
     expect(job.isOpen).toBe(true);
   });
 
+  // Guards against a copy of the job at an entry that did not exist when the job was claimed.
+  it('claims its jobs also at an entry that registers later', async () => {
+    const names = ['own', 'other'];
+    fixture = createFixture(
+      { other: () => FREE, later: () => ({ known: ['a'], memoryMs: 100 }) },
+      { entries: () => names.map(entryOf) },
+    );
+    const { asked, jobs, confirmation } = fixture;
+    suspend(2_000);
+    confirm();
+    await pass(20);
+    const job = createTestJob(1, 100);
+    jobs.set('a', job);
+    names.push('later');
+    confirmation.updateEntries();
+    await pass(20);
+    expect(asked).toEqual(['other a', 'later a']);
+    expect(job.isOpen).toBe(false);
+  });
+
+  // Guards against an entry that has lost its claims with the power of its VM, which closes no connection.
+  it('sends messages to the entries that have its claims', async () => {
+    fixture = createFixture({ other: () => FREE });
+    suspend(2_000);
+    confirm();
+    await pass(500);
+    expect(fixture.asked).toEqual(['other a', 'other ', 'other ']);
+    fixture.confirmation.forget('a');
+    await pass(1_000);
+    expect(fixture.asked).toHaveLength(3);
+  });
+
   // Guards against a step of the wall clock that costs jobs while an entry does not answer.
   it('takes no step of the wall clock for a suspension, if an agent shows that it was one', async () => {
     fixture = createFixture(
