Tests: what remains of old jobs after a pause, one case red

Held: a pause that is too short to be noticed, two entries that were paused, a copy at an entry of which only another one knows (3, 4 and 1 cases). Red, in KNOWN-RED.txt: a copy at an entry of which no other one knows yet; claims reach only what some entry has got from the store.

--- a/packages/proofs/tests/pausedEntries.test.ts
+++ b/packages/proofs/tests/pausedEntries.test.ts
@@ -49,6 +49,20 @@
   ),
 });
 
+/** Reads an old job at the first entry, which was paused, and submits it to the third one while it runs. */
+const playHiddenCopy = async (simulation: DispatchSimulation): Promise<void> => {
+  const connectedAt = performance.now() - 500;
+  simulation.network.freeze('entry-0', true);
+  await jest.advanceTimersByTimeAsync(3_200);
+  simulation.network.freeze('entry-0', false);
+  await jest.advanceTimersByTimeAsync(20);
+  void read(simulation, createSentJob('9'), connectedAt, 1_000);
+  await jest.advanceTimersByTimeAsync(200);
+  void simulation.send(createSentJob('9'), 2);
+  await jest.advanceTimersByTimeAsync(6_000);
+  simulation.halt();
+};
+
 /** Submits small jobs to the first entry just after a pause. Returns the types of the outcomes. */
 const serveAfterPause = async (
   simulation: DispatchSimulation,
@@ -116,6 +130,61 @@
     GENERATED_TIMEOUT_MS,
   );
 
+  // The copy of a job comes 1.3 s after its client has left, at the earliest.
+  it.each([100, 200, 290])(
+    'starts no job that runs elsewhere after a pause of %i ms, which it does not notice',
+    async (pauseMs) => {
+      const simulation = await startDeployment(1);
+      const requests = [10, 50, 90].map((sentAfterMs) => ({
+        sentAfterMs,
+        readAfterMs: firstArrivalMs(sentAfterMs, pauseMs),
+        endAfterMs: 400,
+        waitMs: 0,
+        resendMs: 1_300,
+      }));
+      await playPause(simulation, pauseMs, requests);
+      simulation.halt();
+      expect(checkDispatchGuarantees(simulation)).toEqual([]);
+    },
+  );
+
+  // Guards against two entries that were paused, each of which takes its copy of a job for the only one.
+  it.each([0, 3, 10, 300])(
+    'starts no job that runs elsewhere, when the other entry resumes %i ms later',
+    async (laterMs) => {
+      const simulation = await startDeployment(1);
+      const connectedAt = performance.now() - 500;
+      const names = ['entry-0', 'entry-1'];
+      names.forEach((name) => simulation.network.freeze(name, true));
+      await jest.advanceTimersByTimeAsync(3_000);
+      names.forEach((name, index) => {
+        const job = createSentJob('7');
+        setTimeout(() => simulation.network.freeze(name, false), index * laterMs + 1);
+        setTimeout(
+          () => void read(simulation, job, connectedAt, 2_000, index),
+          index * laterMs + 5,
+        );
+      });
+      await jest.advanceTimersByTimeAsync(6_000);
+      simulation.halt();
+      expect(checkDispatchGuarantees(simulation)).toEqual([]);
+    },
+  );
+
+  // Guards against a copy at an entry that the store hides from the paused one, but not from the others.
+  it('starts no job that runs at an entry of which only another one knows', async () => {
+    const simulation = await startDeployment(1);
+    const entries = ['entry-0', 'entry-1'].map((name) => ({
+      name,
+      address: name,
+      dataCenter: 'north',
+    }));
+    simulation.entries[0]?.node.updatePeers(entries);
+    simulation.changeOperatorState({}, [0]);
+    await playHiddenCopy(simulation);
+    expect(checkDispatchGuarantees(simulation)).toEqual([]);
+  });
+
   // Guards against a claim that has expired at the other entry when its answer is read.
   it.each([1, 2, 3, 5, 10, 40])(
     'claims jobs anew when it was paused again %i ms after it has read them',
@@ -142,6 +211,19 @@
     expect(checkDispatchGuarantees(simulation)).toEqual([]);
   });
 
+  // Red (KNOWN-RED.txt): claims reach only the entries that this one or another one knows from the store.
+  it('starts no job that runs at an entry of which no other one knows yet', async () => {
+    const simulation = await startDeployment(1);
+    const entries = ['entry-0', 'entry-1'].map((name) => ({
+      name,
+      address: name,
+      dataCenter: 'north',
+    }));
+    simulation.entries.slice(0, 2).forEach(({ node }) => node.updatePeers(entries));
+    await playHiddenCopy(simulation);
+    expect(checkDispatchGuarantees(simulation)).toEqual([]);
+  });
+
   it('refuses jobs on kept connections at once while another entry does not answer', async () => {
     const simulation = await startDeployment(1);
     simulation.network.cut('entry-0', 'entry-1', true);
--- a/packages/proofs/tests/support/pausedEntry.ts
+++ b/packages/proofs/tests/support/pausedEntry.ts
@@ -57,12 +57,13 @@
 };
 
 /**
- * Submits a job to the first entry as its socket delivers it.
+ * Submits a job to an entry as its socket delivers it.
  *
  * @param simulation - the deployment
  * @param job - the job
  * @param connectedAt - monotonic time at which the connection was accepted, in milliseconds
  * @param endAfterMs - time until the end of the connection is read, in milliseconds
+ * @param index - index of the entry
  * @returns the outcome
  */
 export const read = async (
@@ -70,8 +71,9 @@
   job: SentJob,
   connectedAt: number,
   endAfterMs: number,
+  index = 0,
 ): Promise<JobOutcome> => {
-  const [entry] = simulation.entries;
+  const entry = simulation.entries[index];
   const route = entry?.node.findRoute('h.example', `/claims/${job.id}`);
   if (!entry || !route) throw new Error('no entry or no route');
   const client = new AbortController();
