Claims: connections to other entries are opened anew after a pause

A connection that was open before the pause may have gone silent with it; the first claim on it would wait for 250 ms, and its job and those of the next 500 ms would be refused. The new test failed before ('opens new connections after each pause').

--- a/packages/dispatch/src/JobClaims.ts
+++ b/packages/dispatch/src/JobClaims.ts
@@ -128,6 +128,11 @@
     });
   }
 
+  /** Closes all connections that no claim needs: they may have gone silent during a pause. */
+  closeUnused(): void {
+    if (this.claims.size === 0) this.halt();
+  }
+
   /** Closes all connections. */
   halt(): void {
     clearTimeout(this.idleTimer);
@@ -222,8 +227,8 @@
   private restartIdleTimer(): void {
     clearTimeout(this.idleTimer);
     this.idleTimer = setTimeout(() => {
-      if (this.claims.size === 0) this.halt();
-      else this.restartIdleTimer();
+      this.closeUnused();
+      if (this.claims.size > 0) this.restartIdleTimer();
     }, CLAIM_IDLE_MS);
   }
 }
--- a/packages/dispatch/src/JobConfirmation.ts
+++ b/packages/dispatch/src/JobConfirmation.ts
@@ -261,6 +261,7 @@
     const { endedAt, lengthMs, suspendedMs, mayBeStep } = pause;
     this.host.log.warn({ lengthMs, suspendedMs }, 'paused');
     this.host.onPause(lengthMs);
+    this.claims.closeUnused();
     if (suspendedMs === 0) return;
     const stepCheck = mayBeStep ? this.dismissStep(pause) : Promise.resolve(false);
     this.stepChecks = Promise.all([this.stepChecks, stepCheck]);
--- a/packages/dispatch/tests/JobConfirmation.test.ts
+++ b/packages/dispatch/tests/JobConfirmation.test.ts
@@ -155,6 +155,22 @@
     ]);
   });
 
+  // Guards against refusals while a connection that went silent during the pause is still used.
+  it('opens new connections after each pause', async () => {
+    fixture = createFixture({ other: () => FREE });
+    const { connections, confirmation } = fixture;
+    suspend(2_000);
+    confirm('first');
+    await pass(20);
+    confirmation.forget('first');
+    Object.assign(connections[0] ?? {}, { toFar: 'lost' });
+    suspend(2_000);
+    const answers = confirm('second');
+    await pass(20);
+    expect(answers).toEqual([{ type: 'confirmed' }]);
+    expect(connections).toHaveLength(2);
+  });
+
   it('does without an entry whose port refuses connections, once its runs are over', async () => {
     fixture = createFixture({}, { entries: () => ['own', 'gone'].map(entryOf) });
     suspend(2_000);
