Soak: clients whose bytes are delivered after the pause of their entry

While an entry is stopped, three clients send jobs to it that arrive up to 0.6 s after the pause, and the ends of their connections up to 0.6 s later; they have submitted the jobs to another entry 1.6 s after they were sent.

--- a/marjorammast-app/src/soak/Soak.ts
+++ b/marjorammast-app/src/soak/Soak.ts
@@ -3,6 +3,7 @@
 import { createRandom } from '../bench/workload';
 import { DispatchDeployment } from '../local/DispatchDeployment';
 import type { Daemon } from '../local/DispatchDeployment';
+import { DelayedClients } from './DelayedClients';
 import { drawFault } from './faults';
 import type { Fault, PowerLoss } from './faults';
 import { FaultInjector } from './FaultInjector';
@@ -55,6 +56,7 @@
   deployment: DispatchDeployment;
   injector: FaultInjector;
   clients: SoakClients;
+  delayedClients: DelayedClients;
 };
 
 /**
@@ -168,7 +170,8 @@
     });
     const collector = setInterval(collectEvents, POLL_MS);
     const end = performance.now() + durationMs;
-    const context = { deployment, injector, clients };
+    const delayedClients = DelayedClients.create({ deployment, entries });
+    const context = { deployment, injector, clients, delayedClients };
     await Promise.all([
       clients.run(end),
       this.injectFaults(end, context),
@@ -239,7 +242,10 @@
     }
   }
 
-  private async injectFault(fault: Fault, { injector }: SoakContext): Promise<void> {
+  private async injectFault(
+    fault: Fault,
+    { injector, delayedClients }: SoakContext,
+  ): Promise<void> {
     const activeFault = injector.start(fault);
     if (!activeFault) return;
     const { kind, durationMs } = fault;
@@ -247,10 +253,15 @@
     const span = { component, from: performance.now(), to: Infinity, isPlanned };
     this.checker.addDisturbance(span);
     this.log.info({ kind, place: component, forMs: Math.round(durationMs) }, 'fault_begins');
+    const delayedJobs =
+      kind === 'freezeEntry'
+        ? delayedClients.send(Number(component.replace('entry-', '')), durationMs)
+        : undefined;
     await sleep(durationMs);
     await undo?.();
     span.to = performance.now();
     this.log.info({ kind, place: component }, 'fault_ends');
+    await delayedJobs;
   }
 
   /** Kills all processes at once and checks that jobs are completed again in time after a restart. */
