Fix: a claim that lasts does not keep expired ones

Cause: each new claim of another entry drops the oldest one if it has expired. Change: when there are too many, all expired ones are dropped. The new test failed before.

--- a/packages/dispatch/src/JobConfirmation.ts
+++ b/packages/dispatch/src/JobConfirmation.ts
@@ -59,10 +59,8 @@
   remainingMs: number;
 };
 
-/** Result of the confirmation of a job. */
-export type Confirmation =
-  /** The job may run. */
-  { type: 'confirmed' } | { type: 'answered'; outcome: JobOutcome };
+/** Result of the confirmation of a job: it may run, or its client gets an answer at once. */
+export type Confirmation = { type: 'confirmed' } | { type: 'answered'; outcome: JobOutcome };
 
 /**
  * Confirms that this entry may run a job though another one may have a copy of it. Load pattern: an entry wakes after
--- a/packages/dispatch/src/ReceivedClaims.ts
+++ b/packages/dispatch/src/ReceivedClaims.ts
@@ -29,6 +29,7 @@
 
   /** True when no further claim can be kept. */
   get isFull(): boolean {
+    if (this.claims.size >= MAX_CLAIMS) this.forgetExpired();
     return this.claims.size >= MAX_CLAIMS;
   }
 
@@ -48,6 +49,12 @@
     if (oldest && oldest[1].until <= now) this.claims.delete(oldest[0]);
   }
 
+  private forgetExpired(): void {
+    const now = performance.now();
+    const expired = [...this.claims].filter(([, { until }]) => until <= now);
+    expired.forEach(([job]) => this.claims.delete(job));
+  }
+
   /**
    * @param job - identifier of a job
    * @returns monotonic time until which runs of the entry that has claimed it may be active, in milliseconds; 0 if
