--- a/packages/proofs/tests/support/DispatchSimulation.ts
+++ b/packages/proofs/tests/support/DispatchSimulation.ts
@@ -1,7 +1,12 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { DispatchEntry } from '@marjorammast/dispatch';
-import type { DispatchEntryOptions, JobOutcome, Queueing } from '@marjorammast/dispatch';
+import type {
+  DispatchEntryOptions,
+  JobOutcome,
+  JobRequest,
+  Queueing,
+} from '@marjorammast/dispatch';
 import { GateAgent } from '@marjorammast/gate';
 import type { WorkerIdentity, WorkerReport } from '@marjorammast/gate';
 import { sleep } from '@marjorammast/protocol';
@@ -72,6 +77,27 @@
   deadlineMs?: number;
 };
 
+/**
+ * @param job - a job as a client sends it
+ * @returns the request that its entry reads
+ */
+export const createJobRequest = ({ id, tasks, spec, estimateMs }: SentJob): JobRequest => ({
+  id,
+  spec: JSON.stringify(spec),
+  isBestEffort: true,
+  repeatCount: 0,
+  steps: [
+    {
+      count: tasks,
+      needs: { cpu: spec.cpu, memoryMb: 10, accelerators: 0 },
+      estimateMs,
+      after: [],
+      maxPerWorker: 0,
+      traits: [],
+    },
+  ],
+});
+
 /** An answer that a client received, with the entry that gave it and the monotonic time. */
 export type ObservedAnswer = { job: SentJob; entry: string; outcome: JobOutcome; at: number };
 
@@ -407,22 +433,7 @@
       route,
       remainingMs: job.deadlineMs ?? CLIENT_DEADLINE_MS,
       signal: client.signal,
-      job: {
-        id: job.id,
-        spec: JSON.stringify(job.spec),
-        isBestEffort: true,
-        repeatCount: 0,
-        steps: [
-          {
-            count: job.tasks,
-            needs: { cpu: job.spec.cpu, memoryMb: 10, accelerators: 0 },
-            estimateMs: job.estimateMs,
-            after: [],
-            maxPerWorker: 0,
-            traits: [],
-          },
-        ],
-      },
+      job: createJobRequest(job),
     };
     const answered = runInProcess(entry.timers, () => entry.node.submit(submission));
     const until = performance.now() + (giveUpMs ?? job.deadlineMs ?? CLIENT_DEADLINE_MS);
--- a/packages/proofs/tests/support/pausedEntry.ts
+++ b/packages/proofs/tests/support/pausedEntry.ts
@@ -1,6 +1,6 @@
 import { sleep } from '@marjorammast/protocol';
 import type { JobOutcome } from '@marjorammast/dispatch';
-import { DispatchSimulation } from './DispatchSimulation';
+import { DispatchSimulation, createJobRequest } from './DispatchSimulation';
 import type { SentJob } from './DispatchSimulation';
 import { runInProcess } from './processTimers';
 
@@ -78,24 +78,10 @@
   if (!entry || !route) throw new Error('no entry or no route');
   const client = new AbortController();
   setTimeout(() => client.abort(), endAfterMs);
-  const step = {
-    count: job.tasks,
-    needs: { cpu: job.spec.cpu, memoryMb: 10, accelerators: 0 },
-    estimateMs: job.estimateMs,
-    after: [],
-    maxPerWorker: 0,
-    traits: [],
-  };
   return runInProcess(entry.timers, () =>
     entry.node.submit({
       route,
-      job: {
-        id: job.id,
-        spec: JSON.stringify(job.spec),
-        isBestEffort: true,
-        repeatCount: 0,
-        steps: [step],
-      },
+      job: createJobRequest(job),
       remainingMs: job.deadlineMs ?? 0,
       signal: client.signal,
       connectedAt,
