--- a/marjorammast-app/src/soak/DelayedClients.ts
+++ b/marjorammast-app/src/soak/DelayedClients.ts
@@ -1,6 +1,7 @@
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
 import { sleep } from '@marjorammast/protocol';
+import type { Log } from '@marjorammast/telemetry';
 import { ROUTE_HOST } from '../local/DispatchDeployment';
 import type { DispatchDeployment, TaskSpec } from '../local/DispatchDeployment';
 
@@ -23,6 +24,7 @@
   deployment: DispatchDeployment;
   /** Number of entries of the deployment. */
   entries: number;
+  log: Log;
 };
 
 const renderRequest = (id: string): string => {
@@ -70,19 +72,21 @@
 
   /** Sends one job; `part`, from 0 to 1, sets its delays. */
   private async sendJob(entry: number, pauseMs: number, part: number): Promise<void> {
-    const { deployment, entries } = this.options;
+    const { deployment, entries, log } = this.options;
     this.count += 1;
     const id = `d${this.count.toString(16).padStart(15, '0')}`;
     const [host, port] = (await deployment.addressOf(`entry-${entry}-clients`)).split(':');
     const socket = connect({ host, port: Number(port), noDelay: true });
     // The entry may end while it is paused; the job is then submitted to the other one alone.
-    socket.on('error', () => undefined);
+    const logFailure = (error: Error) =>
+      log.info({ job: id, detail: error.message }, 'call_broken');
+    socket.on('error', logFailure);
     const other = (entry + 1) % entries;
     await Promise.all([
       this.deliver(socket, id, pauseMs + MAX_DELAY_MS * part, MAX_DELAY_MS * (1 - part)),
       sleep(WAIT_MS + RETRY_DELAY_MS)
         .then(() => deployment.submit(other, id, TASKS, SPEC))
-        .catch(() => undefined),
+        .catch(logFailure),
     ]);
   }
 
--- a/marjorammast-app/src/soak/Soak.ts
+++ b/marjorammast-app/src/soak/Soak.ts
@@ -170,7 +170,7 @@
     });
     const collector = setInterval(collectEvents, POLL_MS);
     const end = performance.now() + durationMs;
-    const delayedClients = DelayedClients.create({ deployment, entries });
+    const delayedClients = DelayedClients.create({ deployment, entries, log: this.log });
     const context = { deployment, injector, clients, delayedClients };
     await Promise.all([
       clients.run(end),
