--- a/marjorammast-app/tests/pausedEntry.test.ts
+++ b/marjorammast-app/tests/pausedEntry.test.ts
@@ -37,6 +37,14 @@
   }
 
   submit(id: string, tasks: number, runMs: number): void {
+    this.write(this.render(id, tasks, runMs));
+  }
+
+  write(text: string): void {
+    this.socket.write(text);
+  }
+
+  render(id: string, tasks: number, runMs: number): string {
     const step = { count: tasks, cpu: 100, mem_mb: 10, est_runtime_ms: runMs };
     const spec = JSON.stringify({ runMs, cpu: 100 });
     const body = JSON.stringify({ spec, steps: [step], best_effort: true });
@@ -47,7 +55,7 @@
       'X-Marjorammast-Deadline-Ms: 4000',
       `Content-Length: ${body.length}`,
     ];
-    this.socket.write(`${head.join('\r\n')}\r\n\r\n${body}`);
+    return `${head.join('\r\n')}\r\n\r\n${body}`;
   }
 
   leave(): void {
@@ -134,6 +142,34 @@
     },
   );
 
+  // Guards against the same when half of a request was read before the pause, or it follows another one at once.
+  it.each(['half before the pause', 'pipelined'])(
+    'starts no job that runs elsewhere, %s',
+    async (form) => {
+      const [client] = await openClients(1);
+      if (!client) throw new Error('no client');
+      const id = takeId();
+      const text = client.render(id, 2, 2_000);
+      const isHalf = form !== 'pipelined';
+      const cut = isHalf ? text.length - 20 : 0;
+      client.write(text.slice(0, cut));
+      await sleep(100);
+      const submitted: Promise<number>[] = [];
+      await pause(async () => {
+        await sleep(SENT_AFTER_MS + WAIT_MS + RESEND_MS);
+        submitted.push(
+          deployment.submit(1, id, 2, { runMs: 2_000, cpu: 100 }).then(({ status }) => status),
+        );
+      });
+      const first = isHalf ? '' : client.render(takeId(), 1, 100);
+      client.write(first + text.slice(cut));
+      await sleep(400);
+      client.leave();
+      expect(await Promise.all(submitted)).toEqual([200]);
+      expect(findOverlappingRuns()).toEqual([]);
+    },
+  );
+
   it('serves all jobs that are sent after it, on kept connections and on new ones', async () => {
     const clients = await openClients(25);
     await pause(async () => undefined);
